--- a/sapphirewalk/src/cli.rs
+++ b/sapphirewalk/src/cli.rs
@@ -32,6 +32,9 @@
     /// Runs the scheduler.
     #[options(help = "run the scheduler: batch tasks on workers")]
     Scheduler(DaemonOptions),
+    /// Serves callers on an entry VM of the users' platform.
+    #[options(help = "run an entry VM: accept jobs, and coordinate them when in office")]
+    Entry(EntryOptions),
     /// Makes an operator's key.
     #[options(help = "make an operator's signing key")]
     Keygen(KeygenOptions),
@@ -82,6 +85,25 @@
     pub check: bool,
 }
 
+/// Runs an entry VM until it is told to shut down.
+#[derive(Debug)]
+#[derive(Options)]
+pub struct EntryOptions {
+    /// Prints this help.
+    #[options(help = "print this help")]
+    pub help: bool,
+    /// The settings file; the environment names it when left out.
+    #[options(
+        no_short,
+        meta = "FILE",
+        help = "the settings file; SAPPHIREWALK_SETTINGS names it when left out"
+    )]
+    pub settings: Option<path::PathBuf>,
+    /// Only checks the settings.
+    #[options(no_short, help = "check the settings and exit")]
+    pub check: bool,
+}
+
 /// Makes an operator's signing key and prints the public key for the settings.
 #[derive(Debug)]
 #[derive(Options)]
--- /dev/null
+++ b/sapphirewalk/src/entry/driver.rs
@@ -0,0 +1,406 @@
+//! Runs the coordinator's decisions against the store and the workers.
+
+use std::cell;
+use std::rc;
+use std::time;
+
+use sapphirewalk_core::coordinator::CommitBatch;
+use sapphirewalk_core::coordinator::Decision;
+use sapphirewalk_core::coordinator::Effect;
+use sapphirewalk_core::coordinator::Event;
+use sapphirewalk_core::coordinator::JobCoordinator;
+use sapphirewalk_core::coordinator::LookAnswer;
+use sapphirewalk_core::coordinator::OrderAnswer;
+use sapphirewalk_core::time::TimePoint;
+use sapphirewalk_core::worker_book::WorkerReport;
+use sapphirewalk_platform::discovery;
+use sapphirewalk_platform::store;
+use sapphirewalk_platform::store::ChangeOutcome;
+use sapphirewalk_platform::store::FeedOutcome;
+use sapphirewalk_platform::store::RowPlace;
+use sapphirewalk_platform::store::StoreError;
+use sapphirewalk_platform::worker::WorkerClient;
+use tokio::sync::mpsc;
+use tokio::task;
+
+use crate::entry::node::EntryNode;
+use crate::entry::node::OfficeHandle;
+use crate::entry::office;
+use crate::entry::office::ConflictMeaning;
+use crate::entry::records;
+use crate::entry::records::JobRow;
+use crate::entry::records::OfficeRow;
+
+/// Time for recording a batch: 5 ms on a good day, 60 times as much on a bad one.
+const BATCH_TIMEOUT: time::Duration = time::Duration::from_millis(1_000);
+/// Time before a call of the store that failed is made again.
+const STORE_RETRY: time::Duration = time::Duration::from_millis(80);
+/// How long the feed of jobs waits: short enough to notice a silent connection soon.
+const FEED_WAIT: time::Duration = time::Duration::from_millis(2_000);
+/// Time between readings of the list of workers: a leaving worker must get nothing new 2 s later.
+const LIST_INTERVAL: time::Duration = time::Duration::from_millis(700);
+/// Missing workers stay in the list for this long after the store's return: their entries lapse
+/// while it is away, and come back within about 2 s.
+const LIST_GRACE: time::Duration = time::Duration::from_millis(2_500);
+
+/// What the tasks of one office share.
+struct OfficeDriver {
+    node: rc::Rc<EntryNode>,
+    coordinator: rc::Rc<cell::RefCell<JobCoordinator>>,
+    events: mpsc::UnboundedSender<Event>,
+    workers: WorkerClient,
+    row: cell::RefCell<OfficeRow>,
+    version: cell::Cell<u64>,
+    lost: cell::Cell<bool>,
+    committing: cell::Cell<bool>,
+}
+
+/// Coordinates until the office is lost or left.
+pub async fn coordinate(
+    node: &rc::Rc<EntryNode>,
+    row: OfficeRow,
+    version: u64,
+    asked_at: TimePoint,
+) {
+    let read = records::read_all(&node.store).await;
+    node.note_store("read_records", &read);
+    let Ok((jobs, feed_from)) = read else {
+        return leave_unused(node, row, version).await;
+    };
+    let now = node.now();
+    let limits = node.settings.coordinator_limits();
+    let mut coordinator = JobCoordinator::new(limits, row.fence, asked_at);
+    coordinator.set_rules((*node.current_rules()).clone());
+    if row.fence > 1 {
+        coordinator.restore(jobs, now);
+    }
+    let (events, mut receiver) = mpsc::unbounded_channel();
+    let driver = rc::Rc::new(OfficeDriver {
+        node: node.clone(),
+        coordinator: rc::Rc::new(cell::RefCell::new(coordinator)),
+        events: events.clone(),
+        workers: WorkerClient::default(),
+        row: cell::RefCell::new(row),
+        version: cell::Cell::new(version),
+        lost: cell::Cell::new(false),
+        committing: cell::Cell::new(false),
+    });
+    let fence = driver.row.borrow().fence;
+    *node.office.borrow_mut() = Some(OfficeHandle {
+        fence,
+        coordinator: driver.coordinator.clone(),
+        events,
+    });
+    node.gauges.takeover_ms.record(node.now().since(asked_at));
+    // Dropping the set ends every task of this office.
+    let mut tasks = task::JoinSet::new();
+    tasks.spawn_local(list_workers(driver.clone()));
+    tasks.spawn_local(follow_jobs(driver.clone(), feed_from));
+    while !driver.lost.get() && !node.stopping.get() {
+        while let Some(ended) = tasks.try_join_next() {
+            if let Err(error) = ended {
+                slog::error!(node.log, "office_task_failed"; "error" => %error);
+            }
+        }
+        let now = node.now();
+        let (effects, wake) = {
+            let mut coordinator = driver.coordinator.borrow_mut();
+            coordinator.set_rules_if_newer(&node.rules.borrow());
+            while let Ok(event) = receiver.try_recv() {
+                coordinator.handle(event, now);
+            }
+            (coordinator.run(now), coordinator.next_wake(now))
+        };
+        for effect in effects {
+            perform(&driver, &mut tasks, effect);
+        }
+        let pause = time::Duration::from(wake.since(node.now()));
+        tokio::select! {
+            event = receiver.recv() => {
+                if let Some(event) = event {
+                    driver.coordinator.borrow_mut().handle(event, node.now());
+                }
+            }
+            () = tokio::time::sleep(pause) => {}
+            () = node.rules_changed.notified() => {}
+            () = node.stop_signal.notified() => {}
+        }
+    }
+    let lost = driver.lost.get();
+    *node.office.borrow_mut() = None;
+    slog::info!(node.log, "office_left"; "fence" => fence, "lost" => lost);
+    if !lost {
+        vacate(&driver, tasks).await;
+    }
+}
+
+/// Gives the office up before anything was done in it.
+async fn leave_unused(node: &EntryNode, mut row: OfficeRow, version: u64) {
+    row.vacant = true;
+    let change = records::office_change(&row, version, None);
+    let outcome = node.store.change(&change, BATCH_TIMEOUT).await;
+    node.note_store("leave_office", &outcome);
+}
+
+/// Leaves the office so that another may take it at once.
+async fn vacate(driver: &OfficeDriver, mut tasks: task::JoinSet<()>) {
+    let deadline = tokio::time::Instant::now() + BATCH_TIMEOUT;
+    while driver.committing.get() && tokio::time::Instant::now() < deadline {
+        tokio::time::sleep(time::Duration::from_millis(2)).await;
+    }
+    tasks.abort_all();
+    let mut row = driver.row.borrow().clone();
+    row.batch += 1;
+    row.vacant = true;
+    let change = records::office_change(&row, driver.version.get(), None);
+    let outcome = driver.node.store.change(&change, BATCH_TIMEOUT).await;
+    driver.node.note_store("leave_office", &outcome);
+}
+
+fn perform(driver: &rc::Rc<OfficeDriver>, tasks: &mut task::JoinSet<()>, effect: Effect) {
+    let node = &driver.node;
+    match effect {
+        Effect::Log(decision) => log_decision(&node.log, &decision),
+        Effect::StepDown => driver.lost.set(true),
+        Effect::Commit(batch) => {
+            driver.committing.set(true);
+            tasks.spawn_local(record(driver.clone(), batch));
+        }
+        Effect::Start {
+            target,
+            run,
+            spec,
+            deadline_ms,
+            checkpoint,
+        } => {
+            node.gauges.starts_ordered.increment();
+            let driver = driver.clone();
+            tasks.spawn_local(async move {
+                let sent_at = driver.node.now();
+                let order =
+                    driver
+                        .workers
+                        .start(&target, run, &spec.spec, deadline_ms, &checkpoint);
+                let answer = order.await;
+                let took = driver.node.now().since(sent_at);
+                driver.node.gauges.start_ms.record(took);
+                if !matches!(answer, OrderAnswer::Accepted { .. }) {
+                    driver.node.gauges.starts_failed.increment();
+                }
+                driver.tell(Event::Started {
+                    worker: target.worker,
+                    run,
+                    answer,
+                });
+            });
+        }
+        Effect::Stop { target, run } => {
+            node.gauges.stops_ordered.increment();
+            let driver = driver.clone();
+            tasks.spawn_local(async move {
+                let answer = driver.workers.stop(&target, run).await;
+                driver.tell(Event::Stopped {
+                    worker: target.worker,
+                    run,
+                    answer,
+                });
+            });
+        }
+        Effect::Pace {
+            target,
+            run,
+            percent,
+        } => {
+            node.gauges.paces_ordered.increment();
+            let driver = driver.clone();
+            tasks.spawn_local(async move {
+                let answer = driver.workers.pace(&target, run, percent).await;
+                driver.tell(Event::Paced {
+                    worker: target.worker,
+                    run,
+                    percent,
+                    answer,
+                });
+            });
+        }
+        Effect::Look {
+            target,
+            deadline_ms,
+            noted,
+            wait_ms,
+        } => {
+            node.gauges.looks_made.increment();
+            let driver = driver.clone();
+            tasks.spawn_local(async move {
+                let look = driver.workers.look(&target, deadline_ms, noted, wait_ms);
+                let answer = look.await;
+                if !matches!(answer, LookAnswer::Lists { .. }) {
+                    driver.node.gauges.looks_failed.increment();
+                    driver.workers.forget(target.address);
+                }
+                driver.tell(Event::Looked {
+                    worker: target.worker,
+                    deadline_ms,
+                    answer,
+                });
+            });
+        }
+    }
+}
+
+fn log_decision(log: &slog::Logger, decision: &Decision) {
+    let Decision { event, job, detail } = decision;
+    let space = if detail.is_empty() { "" } else { " " };
+    match job {
+        Some(job) => slog::info!(log, "{} job={}{}{}", event, job, space, detail),
+        None => slog::info!(log, "{}{}{}", event, space, detail),
+    }
+}
+
+impl OfficeDriver {
+    fn tell(&self, event: Event) {
+        // The receiver is gone only when the office has just been left.
+        let _sent = self.events.send(event);
+    }
+}
+
+/// Records a batch; tries until its outcome is known or the office is lost.
+async fn record(driver: rc::Rc<OfficeDriver>, batch: CommitBatch) {
+    let node = &driver.node;
+    let row = {
+        let mut row = driver.row.borrow_mut();
+        row.batch = batch.number;
+        row.clone()
+    };
+    let sent_at = node.now();
+    loop {
+        let change = records::office_change(&row, driver.version.get(), Some(&batch));
+        let outcome = node.store.change(&change, BATCH_TIMEOUT).await;
+        node.note_store("record", &outcome);
+        match outcome {
+            Ok(ChangeOutcome::Done(version)) => {
+                driver.version.set(version);
+                break;
+            }
+            Ok(ChangeOutcome::Conflict(rows)) => match office::read_conflict(&rows, &row) {
+                ConflictMeaning::Recorded(version) => {
+                    driver.version.set(version);
+                    break;
+                }
+                ConflictMeaning::Behind(version) => driver.version.set(version),
+                ConflictMeaning::Lost => {
+                    slog::warn!(node.log, "office_lost"; "fence" => row.fence,
+                        "batch" => batch.number);
+                    driver.lost.set(true);
+                    node.stop_signal.notify_waiters();
+                    return;
+                }
+            },
+            Err(StoreError::Unknown) => {}
+            Err(StoreError::Refused | StoreError::Malformed(_)) => {
+                tokio::time::sleep(STORE_RETRY).await;
+            }
+        }
+    }
+    node.gauges.batches_recorded.increment();
+    node.gauges.record_ms.record(node.now().since(sent_at));
+    driver.committing.set(false);
+    driver.tell(Event::Committed(batch.number));
+    let forgotten = records::forget_changes(&batch.removed);
+    for change in forgotten {
+        // Rows that stay are dropped with the next job that is forgotten after a takeover.
+        let outcome = node.store.change(&change, BATCH_TIMEOUT).await;
+        node.note_store("forget_jobs", &outcome);
+    }
+}
+
+/// Reads the platform's list of workers again and again.
+async fn list_workers(driver: rc::Rc<OfficeDriver>) {
+    let node = &driver.node;
+    let place = RowPlace {
+        table: store::WORKER_TABLE,
+        part: String::new(),
+        key: String::new(),
+    };
+    let mut known: Vec<WorkerReport> = Vec::new();
+    let mut failed_at: Option<tokio::time::Instant> = None;
+    loop {
+        let mut rows = Vec::new();
+        let mut next = place.clone();
+        let complete = loop {
+            let read = node.store.read(&next, None, records::READ_TIMEOUT).await;
+            node.note_store("list_workers", &read);
+            let Ok(page) = read else {
+                break false;
+            };
+            let last = page.rows.last().map(|row| row.key.clone());
+            rows.extend(page.rows);
+            match last {
+                Some(last) if page.more => next.key = format!("{last}\u{1}"),
+                _ => break true,
+            }
+        };
+        if complete {
+            let mut reports = discovery::worker_reports(&rows);
+            let graced = failed_at.is_some_and(|at| at.elapsed() < LIST_GRACE);
+            if graced {
+                // Entries that lapsed while the store was away come back soon.
+                for report in &known {
+                    if reports.iter().all(|other| other.id != report.id) {
+                        reports.push(report.clone());
+                    }
+                }
+            } else {
+                failed_at = None;
+            }
+            known.clone_from(&reports);
+            let now = node.now();
+            driver.coordinator.borrow_mut().set_workers(reports, now);
+        } else {
+            failed_at = Some(tokio::time::Instant::now());
+        }
+        tokio::time::sleep(LIST_INTERVAL).await;
+    }
+}
+
+/// Follows the table of accepted jobs.
+async fn follow_jobs(driver: rc::Rc<OfficeDriver>, from: u64) {
+    let node = &driver.node;
+    let mut version = from;
+    loop {
+        let fed = node
+            .store
+            .feed(records::JOB_TABLE, version, FEED_WAIT)
+            .await;
+        node.note_store("follow_jobs", &fed);
+        match fed {
+            Ok(FeedOutcome::Changes(page)) => {
+                version = version.max(page.version);
+                for row in page.rows.iter().filter_map(records::job_row) {
+                    driver.tell(match row {
+                        JobRow::Accepted(record) => Event::Stored(record),
+                        JobRow::Cancelled(id) => Event::Cancelled(id),
+                    });
+                }
+            }
+            Ok(FeedOutcome::Forgotten) => {
+                slog::info!(node.log, "feed_forgotten"; "table" => records::JOB_TABLE,
+                    "version" => version);
+                let read = records::read_all(&node.store).await;
+                node.note_store("read_records", &read);
+                let Ok((jobs, at)) = read else {
+                    tokio::time::sleep(STORE_RETRY).await;
+                    continue;
+                };
+                version = at;
+                for record in jobs.jobs {
+                    driver.tell(Event::Stored(record));
+                }
+                for id in jobs.cancelled {
+                    driver.tell(Event::Cancelled(id));
+                }
+            }
+            Err(_) => tokio::time::sleep(STORE_RETRY).await,
+        }
+    }
+}
--- /dev/null
+++ b/sapphirewalk/src/entry/mod.rs
@@ -0,0 +1,200 @@
+//! The process of an entry VM on the users' platform: it serves callers, and one of them at a
+//! time coordinates the jobs of all.
+
+mod callers;
+mod driver;
+mod gauge;
+mod log;
+mod node;
+mod office;
+mod peer;
+mod records;
+mod rules;
+mod settings;
+
+use std::convert;
+use std::env;
+use std::path;
+use std::process;
+use std::rc;
+use std::time;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::server::conn::http1;
+use hyper::service;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+use tokio::signal::unix;
+use tokio::task;
+
+use crate::cli;
+use crate::cli::EntryOptions;
+use crate::entry::callers::ClosingFlag;
+use crate::entry::log::LogBuffer;
+use crate::entry::node::EntryNode;
+use crate::entry::settings::EntrySettings;
+use crate::entry::settings::SettingsFault;
+
+/// Names the settings file where the command line doesn't.
+const SETTINGS_VARIABLE: &str = "SAPPHIREWALK_SETTINGS";
+/// The balancer asks each second and gives a VM up after two misses; connections are taken until
+/// then.
+const BALANCER_SPAN: time::Duration = time::Duration::from_millis(2_300);
+/// Kept of the time to stop for the end of the process itself.
+const STOP_MARGIN: time::Duration = time::Duration::from_millis(700);
+/// Time between looks whether the last connection has ended.
+const DRAIN_POLL: time::Duration = time::Duration::from_millis(20);
+
+/// Runs the command `entry`.
+pub fn start(options: &EntryOptions) -> process::ExitCode {
+    let named = env::var_os(SETTINGS_VARIABLE).map(path::PathBuf::from);
+    match options.settings.clone().or(named) {
+        Some(path) => run(&path, options.check),
+        None => cli::report(&SettingsFault::Unnamed),
+    }
+}
+
+/// Serves until the process is told to stop.
+fn run(path: &path::Path, check: bool) -> process::ExitCode {
+    let settings = match EntrySettings::read(path) {
+        Ok(settings) => settings,
+        Err(fault) => return cli::report(&fault),
+    };
+    if check {
+        println!("the settings are sound");
+        return process::ExitCode::SUCCESS;
+    }
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    let runtime = match runtime {
+        Ok(runtime) => runtime,
+        Err(error) => return cli::report(&error),
+    };
+    let local = task::LocalSet::new();
+    let buffer = LogBuffer::default();
+    let outcome = local.block_on(&runtime, serve(settings, path, &buffer));
+    while !buffer.flush() {
+        std::thread::sleep(log::FLUSH_INTERVAL);
+    }
+    match outcome {
+        Ok(()) => process::ExitCode::SUCCESS,
+        Err(error) => cli::report(&error),
+    }
+}
+
+async fn serve(
+    settings: EntrySettings,
+    path: &path::Path,
+    buffer: &LogBuffer,
+) -> Result<(), std::io::Error> {
+    let log = buffer.logger(&settings.vm);
+    let callers = TcpListener::bind(settings.caller_address).await?;
+    let ready = TcpListener::bind(settings.ready_address).await?;
+    let peers = TcpListener::bind(settings.peer_address).await?;
+    let metrics = TcpListener::bind(settings.metrics_address).await?;
+    let mut terminate = unix::signal(unix::SignalKind::terminate())?;
+    let mut interrupt = unix::signal(unix::SignalKind::interrupt())?;
+    let mut reload = unix::signal(unix::SignalKind::hangup())?;
+    let node = rc::Rc::new(EntryNode::new(settings, log));
+    slog::info!(node.log, "process_started"; "incarnation" => node.incarnation,
+        "domain" => &node.settings.failure_domain,
+        "callers" => %node.settings.caller_address);
+    let closing = rc::Rc::new(ClosingFlag::default());
+    task::spawn_local(flush(buffer.clone()));
+    task::spawn_local(rules::follow(node.clone()));
+    task::spawn_local(peer::serve(node.clone(), peers));
+    task::spawn_local(serve_text(node.clone(), ready, ready_answer));
+    task::spawn_local(serve_text(node.clone(), metrics, metrics_answer));
+    task::spawn_local(callers::serve(node.clone(), callers, closing.clone()));
+    let office = task::spawn_local(office::run(node.clone()));
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = reload.recv() => check_reload(&node, path),
+        }
+    }
+    stop(&node, &closing, office).await;
+    slog::info!(node.log, "process_stopped"; "open_connections" => closing.open_connections());
+    Ok(())
+}
+
+/// Leaves the office, lets the balancer go elsewhere, and ends when the last request has.
+async fn stop(node: &EntryNode, closing: &ClosingFlag, office: task::JoinHandle<()>) {
+    slog::info!(node.log, "shutdown_begun"; "open_connections" => closing.open_connections(),
+        "in_office" => node.own_office().is_some());
+    let began = tokio::time::Instant::now();
+    let grace = time::Duration::from_secs_f64(node.settings.bounds.stop_grace_s);
+    let end = began + grace.saturating_sub(STOP_MARGIN);
+    node.stopping.set(true);
+    node.stop_signal.notify_waiters();
+    tokio::time::sleep(BALANCER_SPAN.min(grace / 2)).await;
+    closing.close();
+    while closing.open_connections() > 0 && tokio::time::Instant::now() < end {
+        tokio::time::sleep(DRAIN_POLL).await;
+    }
+    // The office was left long ago unless the store doesn't answer.
+    office.abort();
+}
+
+/// Reads the settings again; addresses and names only change with a restart.
+fn check_reload(node: &EntryNode, path: &path::Path) {
+    match EntrySettings::read(path) {
+        Ok(_) => slog::info!(node.log, "settings_reloaded"),
+        Err(fault) => report_fault(node, &fault),
+    }
+}
+
+fn report_fault(node: &EntryNode, fault: &SettingsFault) {
+    slog::error!(node.log, "settings_refused"; "fault" => %fault);
+}
+
+async fn flush(buffer: LogBuffer) {
+    loop {
+        tokio::time::sleep(log::FLUSH_INTERVAL).await;
+        buffer.flush();
+    }
+}
+
+fn ready_answer(node: &EntryNode) -> (StatusCode, String) {
+    if node.is_ready() {
+        (StatusCode::OK, String::new())
+    } else {
+        (StatusCode::SERVICE_UNAVAILABLE, String::new())
+    }
+}
+
+fn metrics_answer(node: &EntryNode) -> (StatusCode, String) {
+    (StatusCode::OK, node.gauges.render())
+}
+
+/// Serves one text to whoever asks.
+async fn serve_text(
+    node: rc::Rc<EntryNode>,
+    listener: TcpListener,
+    answer: fn(&EntryNode) -> (StatusCode, String),
+) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(DRAIN_POLL).await;
+            continue;
+        };
+        let node = node.clone();
+        task::spawn_local(async move {
+            let handler = service::service_fn(|_request| {
+                let (status, text) = answer(&node);
+                let mut response = Response::new(Full::new(Bytes::from(text)));
+                *response.status_mut() = status;
+                async move { Ok::<_, convert::Infallible>(response) }
+            });
+            // Whoever asks may go at any time.
+            let _ended = http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), handler)
+                .await;
+        });
+    }
+}
--- /dev/null
+++ b/sapphirewalk/src/entry/peer.rs
@@ -0,0 +1,332 @@
+//! Questions from entry VMs to the one in office, over one TCP connection each.
+
+use std::cell;
+use std::collections;
+use std::net;
+use std::rc;
+use std::time;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use futures::SinkExt;
+use futures::StreamExt;
+use sapphirewalk_core::coordinator::Event;
+use sapphirewalk_core::coordinator::JobRecord;
+use sapphirewalk_core::job_book::JobState;
+use sapphirewalk_core::job_spec::JobId;
+use sapphirewalk_core::job_spec::JobSpec;
+use sapphirewalk_core::time::TimePoint;
+use sapphirewalk_core::time::TimeSpan;
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::task;
+use tokio_util::codec::Framed;
+use tokio_util::codec::LengthDelimitedCodec;
+
+use crate::entry::node::EntryNode;
+use crate::entry::node::OfficeHandle;
+
+/// Time between beats of the coordinator in office.
+pub const BEAT_INTERVAL: time::Duration = time::Duration::from_millis(300);
+/// A connection on which nothing came for this long is dead: four beats.
+pub const BEAT_SILENCE: time::Duration = time::Duration::from_millis(1_200);
+/// Time for a connection to be made.
+const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(400);
+/// Time for an answer from the coordinator in office: a few link delays.
+const ASK_TIMEOUT: time::Duration = time::Duration::from_millis(350);
+
+/// From a peer to the one in office.
+#[derive(Debug, Deserialize, Serialize)]
+enum PeerRequest {
+    /// How does the job stand?
+    State { number: u64, id: JobId },
+    /// How many jobs of the queue wait?
+    Pending { number: u64, queue: String },
+    /// A job was stored.
+    Stored {
+        id: JobId,
+        queue: String,
+        pool: String,
+        spec: JobSpec,
+        accepted_at: TimePoint,
+    },
+    /// A job's cancelling was stored.
+    Cancelled { id: JobId },
+}
+
+/// From the one in office to a peer.
+#[derive(Debug, Deserialize, Serialize)]
+enum PeerMessage {
+    /// The job stands so; none for a job that isn't known.
+    State {
+        number: u64,
+        state: Option<JobState>,
+    },
+    /// So many jobs of the queue wait.
+    Pending { number: u64, pending: usize },
+    /// Still in office.
+    Beat {
+        fence: u64,
+        /// Time since the last batch went on record.
+        recorded_ago: TimeSpan,
+    },
+    /// Not in office, or not any more.
+    Vacant,
+}
+
+/// A connection to the coordinator in office.
+#[derive(Debug)]
+pub struct PeerLink {
+    sender: mpsc::UnboundedSender<PeerRequest>,
+    waiting: rc::Rc<cell::RefCell<WaitingAnswers>>,
+    next_number: cell::Cell<u64>,
+}
+
+#[derive(Debug, Default)]
+struct WaitingAnswers {
+    states: collections::BTreeMap<u64, oneshot::Sender<Option<JobState>>>,
+    pending: collections::BTreeMap<u64, oneshot::Sender<usize>>,
+}
+
+/// Why a connection to the coordinator in office ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LinkEnd {
+    /// The VM refuses connections: its process is gone.
+    Refused,
+    /// It has left the office.
+    Vacant,
+    /// It doesn't answer.
+    Silent,
+    /// It has not recorded anything for too long: it has lost the store.
+    Stale,
+    /// The connection broke.
+    Broken,
+}
+
+/// A coordinator that has not recorded anything for this long has lost the store: it renews its
+/// lease every 400 ms.
+const STALE_LIMIT: TimeSpan = TimeSpan::from_millis(1_600);
+
+impl PeerLink {
+    /// How a job stands; an error when the coordinator doesn't answer.
+    pub async fn state(&self, id: JobId) -> Result<Option<JobState>, LinkEnd> {
+        let number = self.number();
+        let (sender, receiver) = oneshot::channel();
+        self.waiting.borrow_mut().states.insert(number, sender);
+        let sent = self.sender.send(PeerRequest::State { number, id });
+        let answer = if sent.is_ok() {
+            tokio::time::timeout(ASK_TIMEOUT, receiver).await
+        } else {
+            return Err(LinkEnd::Broken);
+        };
+        self.waiting.borrow_mut().states.remove(&number);
+        match answer {
+            Ok(Ok(state)) => Ok(state),
+            Ok(Err(_closed)) => Err(LinkEnd::Broken),
+            Err(_elapsed) => Err(LinkEnd::Silent),
+        }
+    }
+
+    /// How many jobs of a queue wait; an error when the coordinator doesn't answer.
+    pub async fn pending(&self, queue: &str) -> Result<usize, LinkEnd> {
+        let number = self.number();
+        let (sender, receiver) = oneshot::channel();
+        self.waiting.borrow_mut().pending.insert(number, sender);
+        let queue = queue.to_owned();
+        let sent = self.sender.send(PeerRequest::Pending { number, queue });
+        let answer = if sent.is_ok() {
+            tokio::time::timeout(ASK_TIMEOUT, receiver).await
+        } else {
+            return Err(LinkEnd::Broken);
+        };
+        self.waiting.borrow_mut().pending.remove(&number);
+        match answer {
+            Ok(Ok(pending)) => Ok(pending),
+            Ok(Err(_closed)) => Err(LinkEnd::Broken),
+            Err(_elapsed) => Err(LinkEnd::Silent),
+        }
+    }
+
+    /// Tells of an event; the store's feed tells the coordinator too, later.
+    pub fn tell(&self, event: &Event) {
+        let request = match event {
+            Event::Stored(record) => PeerRequest::Stored {
+                id: record.id,
+                queue: record.queue.clone(),
+                pool: record.pool.clone(),
+                spec: record.spec.clone(),
+                accepted_at: record.accepted_at,
+            },
+            Event::Cancelled(id) => PeerRequest::Cancelled { id: *id },
+            _ => return,
+        };
+        // A broken link shows to the task that follows it; the feed brings the event then.
+        let _sent = self.sender.send(request);
+    }
+
+    fn number(&self) -> u64 {
+        let number = self.next_number.get();
+        self.next_number.set(number + 1);
+        number
+    }
+}
+
+/// Serves peers for as long as the process lives.
+pub async fn serve(node: rc::Rc<EntryNode>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let node = node.clone();
+                task::spawn_local(async move { serve_peer(&node, stream).await });
+            }
+            Err(error) => {
+                slog::warn!(node.log, "peer_accept_failed"; "error" => %error);
+                tokio::time::sleep(BEAT_INTERVAL).await;
+            }
+        }
+    }
+}
+
+async fn serve_peer(node: &EntryNode, stream: TcpStream) {
+    // Without it small messages wait for one another, which only costs time.
+    let _nodelay = stream.set_nodelay(true);
+    let mut framed = Framed::new(stream, LengthDelimitedCodec::new());
+    let mut beat = tokio::time::interval(BEAT_INTERVAL);
+    loop {
+        let Some(office) = node.own_office() else {
+            let _last = framed.send(encode(&PeerMessage::Vacant)).await;
+            return;
+        };
+        let message = tokio::select! {
+            frame = framed.next() => match frame {
+                Some(Ok(frame)) => answer(&office, &frame),
+                Some(Err(_)) | None => return,
+            },
+            _ = beat.tick() => {
+                let coordinator = office.coordinator.borrow();
+                Some(PeerMessage::Beat {
+                    fence: office.fence,
+                    recorded_ago: node.now().since(coordinator.recorded_at()),
+                })
+            }
+        };
+        if let Some(message) = message {
+            let sending = framed.send(encode(&message));
+            // A peer that doesn't read is cut off; it will connect again.
+            match tokio::time::timeout(BEAT_SILENCE, sending).await {
+                Ok(Ok(())) => {}
+                Ok(Err(_)) | Err(_) => return,
+            }
+        }
+    }
+}
+
+fn answer(office: &OfficeHandle, frame: &BytesMut) -> Option<PeerMessage> {
+    match postcard::from_bytes::<PeerRequest>(frame) {
+        Ok(PeerRequest::State { number, id }) => Some(PeerMessage::State {
+            number,
+            state: office.coordinator.borrow().shown_state(id),
+        }),
+        Ok(PeerRequest::Pending { number, queue }) => Some(PeerMessage::Pending {
+            number,
+            pending: office.coordinator.borrow().pending_jobs(&queue),
+        }),
+        Ok(PeerRequest::Stored {
+            id,
+            queue,
+            pool,
+            spec,
+            accepted_at,
+        }) => {
+            let record = JobRecord {
+                id,
+                queue,
+                pool,
+                spec,
+                accepted_at,
+            };
+            // The receiver is gone only when the office has just been left.
+            let _sent = office.events.send(Event::Stored(record));
+            None
+        }
+        Ok(PeerRequest::Cancelled { id }) => {
+            let _sent = office.events.send(Event::Cancelled(id));
+            None
+        }
+        Err(_unreadable) => None,
+    }
+}
+
+/// Keeps a connection to the coordinator in office; returns when it has to be doubted.
+pub async fn follow(node: &EntryNode, address: net::SocketAddr) -> LinkEnd {
+    let connecting = TcpStream::connect(address);
+    let stream = match tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(_refused)) => return LinkEnd::Refused,
+        Err(_elapsed) => return LinkEnd::Silent,
+    };
+    let _nodelay = stream.set_nodelay(true);
+    let (sender, mut requests) = mpsc::unbounded_channel();
+    let waiting = rc::Rc::new(cell::RefCell::new(WaitingAnswers::default()));
+    let link = rc::Rc::new(PeerLink {
+        sender,
+        waiting: waiting.clone(),
+        next_number: cell::Cell::new(1),
+    });
+    *node.link.borrow_mut() = Some(link);
+    let mut framed = Framed::new(stream, LengthDelimitedCodec::new());
+    let mut heard_at = tokio::time::Instant::now();
+    let end = loop {
+        tokio::select! {
+            frame = framed.next() => {
+                let Some(Ok(frame)) = frame else {
+                    break LinkEnd::Broken;
+                };
+                heard_at = tokio::time::Instant::now();
+                if let Some(end) = take_message(&waiting, &frame) {
+                    break end;
+                }
+            }
+            Some(request) = requests.recv() => {
+                if framed.send(encode(&request)).await.is_err() {
+                    break LinkEnd::Broken;
+                }
+            }
+            () = tokio::time::sleep_until(heard_at + BEAT_SILENCE) => break LinkEnd::Silent,
+        }
+    };
+    *node.link.borrow_mut() = None;
+    end
+}
+
+fn take_message(waiting: &cell::RefCell<WaitingAnswers>, frame: &BytesMut) -> Option<LinkEnd> {
+    match postcard::from_bytes::<PeerMessage>(frame) {
+        Ok(PeerMessage::State { number, state }) => {
+            if let Some(sender) = waiting.borrow_mut().states.remove(&number) {
+                // The one who asked may have given up.
+                let _sent = sender.send(state);
+            }
+            None
+        }
+        Ok(PeerMessage::Pending { number, pending }) => {
+            if let Some(sender) = waiting.borrow_mut().pending.remove(&number) {
+                let _sent = sender.send(pending);
+            }
+            None
+        }
+        Ok(PeerMessage::Beat { recorded_ago, .. }) => {
+            (recorded_ago > STALE_LIMIT).then_some(LinkEnd::Stale)
+        }
+        Ok(PeerMessage::Vacant) => Some(LinkEnd::Vacant),
+        Err(_unreadable) => Some(LinkEnd::Broken),
+    }
+}
+
+fn encode(message: &impl Serialize) -> Bytes {
+    // Encoding plain types into memory can't fail; the reader drops an empty frame's connection.
+    Bytes::from(postcard::to_allocvec(message).unwrap_or_default())
+}
--- /dev/null
+++ b/sapphirewalk/src/entry/records.rs
@@ -0,0 +1,279 @@
+//! What the store keeps: accepted jobs, their progress, and who is in office.
+
+use std::net;
+use std::time;
+
+use sapphirewalk_core::coordinator::CommitBatch;
+use sapphirewalk_core::coordinator::JobRecord;
+use sapphirewalk_core::coordinator::JobRecords;
+use sapphirewalk_core::job_book::JobProgress;
+use sapphirewalk_core::job_spec::JobId;
+use sapphirewalk_core::job_spec::JobSpec;
+use sapphirewalk_core::time::TimePoint;
+use sapphirewalk_platform::store::RowChange;
+use sapphirewalk_platform::store::RowPage;
+use sapphirewalk_platform::store::RowPlace;
+use sapphirewalk_platform::store::StoreClient;
+use sapphirewalk_platform::store::StoreError;
+use sapphirewalk_platform::store::StoredRow;
+use serde::Deserialize;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// Accepted jobs, and marks of cancelled ones.
+pub const JOB_TABLE: &str = "jobs";
+/// How far jobs have come.
+const PROGRESS_TABLE: &str = "progress";
+/// Who is in office.
+const OFFICE_TABLE: &str = "office";
+/// The part whose rows change together with the office's row.
+const OFFICE_PART: &str = "office";
+/// The row that names who is in office.
+const OFFICE_KEY: &str = "coordinator";
+/// Parts over which accepted jobs are spread: one takes 200 transactions a second, and the larger
+/// sites accept up to about 100 jobs a second in bursts.
+const JOB_PARTS: u64 = 4;
+/// Ends the key of a mark that a job is cancelled; sorts after the job's own key.
+const CANCEL_SUFFIX: &str = "-cancelled";
+/// The layout of values that this version writes.
+const LAYOUT_VERSION: u8 = 1;
+/// Time for a read at start-up: the store answers in 4 ms, up to 60 times as slowly on bad days.
+pub const READ_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
+
+/// Who is in office.
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct OfficeRow {
+    /// The VM's name.
+    pub vm: String,
+    /// Tells one life of its process from another.
+    pub incarnation: u64,
+    /// The fencing token.
+    pub fence: u64,
+    /// Where it takes connections of peers.
+    pub address: net::SocketAddr,
+    /// The last batch that it recorded.
+    pub batch: u64,
+    /// It has left the office; anybody may take it.
+    pub vacant: bool,
+}
+
+/// An accepted job as it is kept.
+#[derive(Debug, Deserialize, Serialize)]
+struct StoredJob {
+    queue: String,
+    pool: String,
+    spec: JobSpec,
+    accepted_at: TimePoint,
+}
+
+/// A row of the table of jobs.
+#[derive(Clone, Debug)]
+pub enum JobRow {
+    /// A job was accepted.
+    Accepted(JobRecord),
+    /// A job's cancelling was accepted.
+    Cancelled(JobId),
+}
+
+/// Where the office's row is.
+pub fn office_place() -> RowPlace {
+    RowPlace {
+        table: OFFICE_TABLE,
+        part: OFFICE_PART.to_owned(),
+        key: OFFICE_KEY.to_owned(),
+    }
+}
+
+/// Where an accepted job is.
+pub fn job_place(id: JobId) -> RowPlace {
+    RowPlace {
+        table: JOB_TABLE,
+        part: (id.0 % JOB_PARTS).to_string(),
+        key: id.to_string(),
+    }
+}
+
+/// Where the mark of a job's cancelling is.
+pub fn cancel_place(id: JobId) -> RowPlace {
+    let mut place = job_place(id);
+    place.key.push_str(CANCEL_SUFFIX);
+    place
+}
+
+fn progress_place(id: JobId) -> RowPlace {
+    RowPlace {
+        table: PROGRESS_TABLE,
+        part: OFFICE_PART.to_owned(),
+        key: id.to_string(),
+    }
+}
+
+/// Encodes a value behind its layout's version.
+pub fn encode(value: &impl Serialize) -> Vec<u8> {
+    // Encoding plain types into memory can't fail; an empty value would be refused on reading.
+    let mut bytes = vec![LAYOUT_VERSION];
+    bytes.extend(postcard::to_allocvec(value).unwrap_or_default());
+    bytes
+}
+
+/// Decodes a value of a layout that this version knows.
+pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Option<T> {
+    let (version, rest) = bytes.split_first()?;
+    if *version != LAYOUT_VERSION {
+        return None;
+    }
+    postcard::from_bytes(rest).ok()
+}
+
+/// The change that accepts a job; it takes effect once at the most.
+pub fn accept_change(record: &JobRecord) -> RowChange {
+    let place = job_place(record.id);
+    let value = encode(&StoredJob {
+        queue: record.queue.clone(),
+        pool: record.pool.clone(),
+        spec: record.spec.clone(),
+        accepted_at: record.accepted_at,
+    });
+    RowChange {
+        expected: vec![(place.clone(), 0)],
+        written: vec![(place, value)],
+        removed: Vec::new(),
+    }
+}
+
+/// The change that accepts a job's cancelling.
+pub fn cancel_change(id: JobId) -> RowChange {
+    RowChange {
+        expected: Vec::new(),
+        written: vec![(cancel_place(id), encode(&()))],
+        removed: Vec::new(),
+    }
+}
+
+/// The change that takes or renews the office and records a batch.
+pub fn office_change(row: &OfficeRow, version: u64, batch: Option<&CommitBatch>) -> RowChange {
+    let mut change = RowChange {
+        expected: vec![(office_place(), version)],
+        written: vec![(office_place(), encode(row))],
+        removed: Vec::new(),
+    };
+    if let Some(batch) = batch {
+        for progress in &batch.rows {
+            change
+                .written
+                .push((progress_place(progress.id), encode(progress)));
+        }
+        change
+            .removed
+            .extend(batch.removed.iter().map(|id| progress_place(*id)));
+    }
+    change
+}
+
+/// The changes that drop the rows of jobs that nobody may ask for any more.
+pub fn forget_changes(ids: &[JobId]) -> Vec<RowChange> {
+    (0..JOB_PARTS)
+        .map(|part| RowChange {
+            removed: ids
+                .iter()
+                .filter(|id| id.0 % JOB_PARTS == part)
+                .flat_map(|id| [job_place(*id), cancel_place(*id)])
+                .collect(),
+            ..RowChange::default()
+        })
+        .filter(|change| !change.removed.is_empty())
+        .collect()
+}
+
+/// Reads a row of the table of jobs; `None` for a dropped or unreadable one.
+pub fn job_row(row: &StoredRow) -> Option<JobRow> {
+    if row.dropped {
+        return None;
+    }
+    if let Some(key) = row.key.strip_suffix(CANCEL_SUFFIX) {
+        let id = u64::from_str_radix(key, 16).ok()?;
+        return Some(JobRow::Cancelled(JobId(id)));
+    }
+    let id = u64::from_str_radix(&row.key, 16).ok()?;
+    let stored: StoredJob = decode(&row.value)?;
+    Some(JobRow::Accepted(JobRecord {
+        id: JobId(id),
+        queue: stored.queue,
+        pool: stored.pool,
+        spec: stored.spec,
+        accepted_at: stored.accepted_at,
+    }))
+}
+
+/// Reads how far one job has come.
+///
+/// # Errors
+///
+/// When the store doesn't answer or refuses.
+pub async fn read_progress(
+    store: &StoreClient,
+    id: JobId,
+    timeout: time::Duration,
+) -> Result<Option<JobProgress>, StoreError> {
+    let row = store.read_row(&progress_place(id), timeout).await?;
+    Ok(row.and_then(|row| decode(&row.value)))
+}
+
+/// Reads everything about jobs, and the version from which to follow the table of jobs.
+///
+/// # Errors
+///
+/// When the store doesn't answer or refuses.
+pub async fn read_all(store: &StoreClient) -> Result<(JobRecords, u64), StoreError> {
+    let mut records = JobRecords::default();
+    let mut version = u64::MAX;
+    for part in 0..JOB_PARTS {
+        let first = RowPlace {
+            table: JOB_TABLE,
+            part: part.to_string(),
+            key: String::new(),
+        };
+        let pages = read_pages(store, first, &mut version).await?;
+        for row in pages.iter().filter_map(job_row) {
+            match row {
+                JobRow::Accepted(record) => records.jobs.push(record),
+                JobRow::Cancelled(id) => records.cancelled.push(id),
+            }
+        }
+    }
+    let first = RowPlace {
+        table: PROGRESS_TABLE,
+        part: OFFICE_PART.to_owned(),
+        key: String::new(),
+    };
+    let mut later = u64::MAX;
+    let pages = read_pages(store, first, &mut later).await?;
+    let progress = pages.iter().filter_map(|row| decode(&row.value));
+    records.progress = progress.collect();
+    Ok((records, version))
+}
+
+async fn read_pages(
+    store: &StoreClient,
+    first: RowPlace,
+    version: &mut u64,
+) -> Result<Vec<StoredRow>, StoreError> {
+    let mut rows = Vec::new();
+    let mut place = first;
+    loop {
+        let RowPage {
+            rows: page,
+            more,
+            version: at,
+        } = store.read(&place, None, READ_TIMEOUT).await?;
+        *version = (*version).min(at);
+        let last = page.last().map(|row| row.key.clone());
+        rows.extend(page);
+        match last {
+            // The next key after the last one in byte order.
+            Some(last) if more => place.key = format!("{last}\u{1}"),
+            _ => return Ok(rows),
+        }
+    }
+}
--- a/sapphirewalk/src/main.rs
+++ b/sapphirewalk/src/main.rs
@@ -9,6 +9,7 @@
 mod command;
 mod config;
 mod daemon;
+mod entry;
 mod event;
 mod gateway;
 mod gossip;
@@ -40,6 +41,7 @@
         None => cli::print_usage(),
         Some(CommandName::Gateway(options)) => daemon::run(PeerRole::Gateway, &options),
         Some(CommandName::Scheduler(options)) => daemon::run(PeerRole::Scheduler, &options),
+        Some(CommandName::Entry(options)) => entry::start(&options),
         Some(CommandName::Keygen(options)) => finish(command::keygen(&options)),
         Some(CommandName::Sign(options)) => block_on(command::sign(&options)),
         Some(CommandName::Rollout(options)) => block_on(command::rollout(&options)),
--- /dev/null
+++ b/sapphirewalk_core/src/coordinator/commit.rs
@@ -0,0 +1,211 @@
+//! What goes on record, and when what was recorded takes effect.
+
+use crate::coordinator::CommitBatch;
+use crate::coordinator::Effect;
+use crate::coordinator::JobCoordinator;
+use crate::job_book::JobSlot;
+use crate::job_book::JobState;
+use crate::job_book::TaskPhase;
+use crate::job_book::TaskSlot;
+use crate::time::TimePoint;
+use crate::time::TimeSpan;
+use crate::worker_book::WorkerSlot;
+
+/// Most rows of one batch: the store takes 100 entries in a transaction, the lease's included.
+const BATCH_ROWS: usize = 90;
+/// Least time between batches: saves calls where ends come closely one after another, and is
+/// short against the objectives, which start at 250 ms.
+const BATCH_INTERVAL: TimeSpan = TimeSpan::from_millis(12);
+/// A batch without rows renews the lease this often.
+const RENEW_INTERVAL: TimeSpan = TimeSpan::from_millis(400);
+/// How long after the last batch on record orders are still given. Together with
+/// `look::LEASE_SPAN` it bounds what a successor has to wait out on workers out of reach.
+pub const AUTHORITY_SPAN: TimeSpan = TimeSpan::from_millis(6_000);
+
+/// The batch on its way, and when the next is due.
+#[derive(Debug)]
+pub(super) struct CommitState {
+    number: u64,
+    in_flight: Option<FlightBatch>,
+    next_batch: TimePoint,
+    next_renewal: TimePoint,
+    /// When the last batch that is on record was sent.
+    recorded_at: TimePoint,
+}
+
+/// A batch on its way.
+#[derive(Debug)]
+struct FlightBatch {
+    number: u64,
+    sent_at: TimePoint,
+    jobs: Vec<(JobSlot, JobState)>,
+    starts: Vec<TaskSlot>,
+    ends: Vec<(WorkerSlot, u64, u64)>,
+}
+
+impl CommitState {
+    pub(super) const fn new(now: TimePoint) -> Self {
+        Self {
+            number: 0,
+            in_flight: None,
+            next_batch: now,
+            next_renewal: now,
+            recorded_at: now,
+        }
+    }
+}
+
+impl JobCoordinator {
+    /// Whether orders may be given: no successor can have given up waiting for this one.
+    pub fn has_authority(&self, now: TimePoint) -> bool {
+        now.since(self.commit.recorded_at) < AUTHORITY_SPAN
+    }
+
+    /// When the last batch that is on record was sent.
+    pub const fn recorded_at(&self) -> TimePoint {
+        self.commit.recorded_at
+    }
+
+    /// When the next batch is due; none while one is on its way.
+    pub(super) fn next_batch_at(&self) -> Option<TimePoint> {
+        if self.commit.in_flight.is_some() {
+            None
+        } else if self.dirty.is_empty() && self.removed.is_empty() {
+            Some(self.commit.next_renewal)
+        } else {
+            Some(self.commit.next_batch)
+        }
+    }
+
+    /// Sends the next batch if one is due.
+    pub(super) fn commit_round(&mut self, now: TimePoint) {
+        if self.next_batch_at().is_none_or(|due| now < due) {
+            return;
+        }
+        let room = BATCH_ROWS.min(self.dirty.len());
+        let mut rows = Vec::with_capacity(room);
+        let mut jobs = Vec::with_capacity(room);
+        let mut starts = Vec::new();
+        let whole = room == self.dirty.len();
+        for slot in self.dirty.drain(..room) {
+            let Some(job) = self.jobs.get_mut(slot) else {
+                continue;
+            };
+            job.dirty = false;
+            jobs.push((slot, job.state));
+            for occurrence in &job.occurrences {
+                for (task, number) in occurrence.tasks.iter().zip(0u32..) {
+                    if task.phase == TaskPhase::Recording {
+                        starts.push(TaskSlot {
+                            job: slot,
+                            occurrence: occurrence.number,
+                            task: number,
+                        });
+                    }
+                }
+            }
+            let workers = &self.workers;
+            rows.push(job.progress(|worker| workers.get(worker).report.id.clone()));
+        }
+        let ends = if whole {
+            let entries = self.workers.iter();
+            entries
+                .filter(|(_, entry)| entry.seen > entry.noted)
+                .map(|(slot, entry)| (slot, entry.born_ms, entry.seen))
+                .collect()
+        } else {
+            Vec::new()
+        };
+        let removable = (BATCH_ROWS - room).min(self.removed.len());
+        let removed = self.removed.drain(..removable).collect();
+        self.commit.number += 1;
+        let number = self.commit.number;
+        self.commit.in_flight = Some(FlightBatch {
+            number,
+            sent_at: now,
+            jobs,
+            starts,
+            ends,
+        });
+        self.commit.next_batch = now + BATCH_INTERVAL;
+        self.commit.next_renewal = now + RENEW_INTERVAL;
+        self.effects.push(Effect::Commit(CommitBatch {
+            number,
+            rows,
+            removed,
+        }));
+    }
+
+    /// A batch is on record: starts in it are sent, ends in it may be forgotten by their workers,
+    /// and callers are told of its states.
+    pub(super) fn on_committed(&mut self, number: u64, now: TimePoint) {
+        let Some(batch) = self.commit.in_flight.take() else {
+            return;
+        };
+        if batch.number != number {
+            self.commit.in_flight = Some(batch);
+            return;
+        }
+        self.commit.recorded_at = batch.sent_at;
+        for (slot, state) in batch.jobs {
+            if let Some(job) = self.jobs.get_mut(slot)
+                && job.shown != JobState::Cancelled
+            {
+                job.shown = state;
+            }
+        }
+        for (worker, born_ms, seen) in batch.ends {
+            let entry = self.workers.get_mut(worker);
+            if entry.born_ms == born_ms {
+                entry.noted = entry.noted.max(seen);
+            }
+            entry.next_look = entry.next_look.min(now);
+        }
+        for slot in batch.starts {
+            self.begin_run(slot, now);
+        }
+    }
+
+    /// Sends a start that has just gone on record, unless it isn't wanted any more.
+    fn begin_run(&mut self, slot: TaskSlot, now: TimePoint) {
+        let recording = self
+            .jobs
+            .task(slot)
+            .is_some_and(|task| task.phase == TaskPhase::Recording);
+        if !recording {
+            return;
+        }
+        let over = self
+            .jobs
+            .get(slot.job)
+            .is_none_or(|job| job.state.is_final());
+        if over {
+            self.release(slot, now, TimeSpan::ZERO);
+        } else {
+            if let Some(job) = self.jobs.get_mut(slot.job)
+                && job.shown == JobState::Queued
+            {
+                job.shown = JobState::Running;
+            }
+            self.send_start(slot, now);
+        }
+    }
+
+    /// Ends of a worker that concern no job's record may be forgotten at once.
+    pub(super) fn note_ends(&mut self, worker: WorkerSlot, now: TimePoint) {
+        let idle = self.dirty.is_empty() && self.commit.in_flight.is_none();
+        let entry = self.workers.get_mut(worker);
+        if entry.seen <= entry.noted {
+            return;
+        }
+        if idle {
+            entry.noted = entry.seen;
+        } else {
+            // The worker would answer at once for as long as the end isn't noted.
+            entry.next_look = now + NOTE_WAIT;
+        }
+    }
+}
+
+/// How long a look waits for the record of ends that the worker has already listed.
+const NOTE_WAIT: TimeSpan = TimeSpan::from_millis(400);
--- /dev/null
+++ b/sapphirewalk_core/src/coordinator/look.rs
@@ -0,0 +1,683 @@
+//! What workers say: lists of runs, and answers to orders.
+
+use crate::coordinator::Effect;
+use crate::coordinator::JobCoordinator;
+use crate::coordinator::ListedEnd;
+use crate::coordinator::ListedRun;
+use crate::coordinator::LookAnswer;
+use crate::coordinator::OrderAnswer;
+use crate::coordinator::RunEnd;
+use crate::job_book::JobState;
+use crate::job_book::TaskPhase;
+use crate::job_book::TaskSlot;
+use crate::job_spec::RunName;
+use crate::time::TimePoint;
+use crate::time::TimeSpan;
+use crate::worker_book::ClockReading;
+use crate::worker_book::TaskGauge;
+use crate::worker_book::WorkerSlot;
+
+/// How far ahead of the present a worker's runs may go on: long enough for a successor to take
+/// office and look at the worker, short enough that runs on a lost worker are soon repeated.
+pub const LEASE_SPAN: TimeSpan = TimeSpan::from_millis(5_000);
+/// How long a worker may wait for an end before it answers a look.
+const LOOK_WAIT: TimeSpan = TimeSpan::from_millis(1_000);
+/// Time before a worker that did not answer is looked at again.
+const LOOK_RETRY: TimeSpan = TimeSpan::from_millis(300);
+/// A worker that has not answered for this long gets nothing new: a look's wait and as much again.
+pub const SILENCE_LIMIT: TimeSpan = TimeSpan::from_millis(2_200);
+/// A worker that did not answer an order gets nothing new for this long.
+const MISSING_SHUN: TimeSpan = TimeSpan::from_millis(1_000);
+/// A worker that refused an order because it is unwell gets nothing new for this long.
+const UNWELL_SHUN: TimeSpan = TimeSpan::from_millis(1_500);
+/// Runs that fail in a row on one worker before it is shunned.
+const FAILURE_LIMIT: u32 = 2;
+/// A worker on which runs fail gets nothing new for this long at first.
+const FAILURE_SHUN: TimeSpan = TimeSpan::from_millis(2_500);
+/// Longest time for which failures shun a worker.
+const LONGEST_SHUN: TimeSpan = TimeSpan::from_millis(10_000);
+/// Time before an order without an answer is sent again.
+const RESEND_DELAY: TimeSpan = TimeSpan::from_millis(150);
+/// Time before a run that was turned away is tried elsewhere.
+const TURNED_AWAY_DELAY: TimeSpan = TimeSpan::from_millis(20);
+
+/// An order to send again.
+#[derive(Clone, Copy, Debug)]
+pub struct ResendEntry {
+    at: TimePoint,
+    worker: WorkerSlot,
+    run: RunName,
+    kind: ResendKind,
+}
+
+/// What to send again.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum ResendKind {
+    Start,
+    Stop,
+}
+
+impl JobCoordinator {
+    /// Looks at the workers whose turn has come.
+    pub(super) fn look_round(&mut self, now: TimePoint) {
+        if !self.has_authority(now) {
+            return;
+        }
+        for slot in self.workers.slots() {
+            let entry = self.workers.get(slot);
+            if !entry.is_looked_at() || entry.looking || entry.next_look > now {
+                continue;
+            }
+            let deadline_ms = self.lease_deadline(slot, now);
+            let target = self.target(slot);
+            let entry = self.workers.get_mut(slot);
+            entry.looking = true;
+            entry.granted_ms = entry.granted_ms.max(deadline_ms);
+            let wait_ms = if entry.adopted && entry.misses == 0 {
+                LOOK_WAIT.as_millis()
+            } else {
+                0
+            };
+            let noted = entry.noted;
+            self.effects.push(Effect::Look {
+                target,
+                deadline_ms,
+                noted,
+                wait_ms,
+            });
+        }
+    }
+
+    /// The deadline to give a worker now; 0 while its clock isn't known or it doesn't answer, so
+    /// that its leases end.
+    fn lease_deadline(&self, slot: WorkerSlot, now: TimePoint) -> u64 {
+        let entry = self.workers.get(slot);
+        if entry.misses > 0 {
+            return 0;
+        }
+        let span = LEASE_SPAN.min(self.limits.longest_lease);
+        entry
+            .clock_at(now)
+            .map_or(0, |clock| clock + span.as_millis())
+    }
+
+    pub(super) fn on_looked(
+        &mut self,
+        worker: WorkerSlot,
+        deadline_ms: u64,
+        answer: LookAnswer,
+        now: TimePoint,
+    ) {
+        let entry = self.workers.get_mut(worker);
+        entry.looking = false;
+        entry.granted_ms = entry.granted_ms.max(deadline_ms);
+        match answer {
+            LookAnswer::Fenced => self.step_down("look", worker),
+            LookAnswer::Lists {
+                clock_ms,
+                born_ms,
+                running,
+                ended,
+            } => self.on_lists(worker, clock_ms, born_ms, &running, ended, now),
+            LookAnswer::Missing | LookAnswer::Refused(_) | LookAnswer::OtherLife => {
+                entry.misses += 1;
+                entry.next_look = now + LOOK_RETRY;
+                if entry.misses == 1 {
+                    let id = entry.report.id.clone();
+                    let age = now.since(entry.answered_at);
+                    let tasks = entry.tasks.len();
+                    let detail =
+                        format!("worker={id} answer={answer:?} heard_ago={age} tasks={tasks}");
+                    self.log("worker_lost", None, detail);
+                }
+            }
+        }
+    }
+
+    fn on_lists(
+        &mut self,
+        worker: WorkerSlot,
+        clock_ms: u64,
+        born_ms: u64,
+        running: &[ListedRun],
+        ended: Vec<ListedEnd>,
+        now: TimePoint,
+    ) {
+        let entry = self.workers.get_mut(worker);
+        let was_lost = entry.misses > 0;
+        entry.misses = 0;
+        entry.answered_at = now;
+        entry.next_look = now;
+        let other_life = entry.born_ms != born_ms;
+        if other_life && entry.born_ms != 0 {
+            self.on_reborn(worker, born_ms, now);
+        }
+        let entry = self.workers.get_mut(worker);
+        if other_life {
+            entry.born_ms = born_ms;
+            entry.seen = 0;
+            entry.noted = 0;
+            entry.granted_ms = 0;
+            entry.clock = None;
+        }
+        let reading = ClockReading {
+            worker_ms: clock_ms,
+            at: now,
+        };
+        if entry.clock.is_none_or(|known| known.worker_ms <= clock_ms) {
+            entry.clock = Some(reading);
+        }
+        let newly_adopted = !entry.adopted;
+        entry.adopted = true;
+        if newly_adopted || was_lost {
+            self.place_due = true;
+            let detail = format!(
+                "worker={} runs={} ends={} clock_ms={clock_ms} born_ms={born_ms}",
+                self.workers.get(worker).report.id,
+                running.len(),
+                ended.len()
+            );
+            self.log("worker_heard", None, detail);
+        }
+        for end in ended {
+            if end.number > self.workers.get(worker).seen {
+                self.workers.get_mut(worker).seen = end.number;
+                self.on_ended(worker, end, now);
+            }
+        }
+        self.compare_runs(worker, clock_ms, running, now);
+        self.pace_worker(worker, now);
+        self.note_ends(worker, now);
+    }
+
+    /// A worker has begun another life: what ran there is gone.
+    fn on_reborn(&mut self, worker: WorkerSlot, born_ms: u64, now: TimePoint) {
+        let entry = self.workers.get(worker);
+        let detail = format!(
+            "worker={} was_born_ms={} born_ms={born_ms} tasks={}",
+            entry.report.id,
+            entry.born_ms,
+            entry.tasks.len()
+        );
+        self.log("worker_reborn", None, detail);
+        self.lose_tasks(worker, "reborn", now);
+        self.workers.get_mut(worker).inherited_until = TimePoint::EPOCH;
+    }
+
+    /// Lets every task of a worker wait for another run.
+    fn lose_tasks(&mut self, worker: WorkerSlot, cause: &'static str, now: TimePoint) {
+        for slot in self.workers.get(worker).tasks.clone() {
+            let Some(task) = self.jobs.task(slot) else {
+                continue;
+            };
+            if task.phase == TaskPhase::Recording {
+                continue;
+            }
+            self.lose_run(slot, cause, now);
+        }
+    }
+
+    /// A run is known not to exist any more, without an end that tells how.
+    fn lose_run(&mut self, slot: TaskSlot, cause: &'static str, now: TimePoint) {
+        let Some(run) = self.jobs.run_name(slot) else {
+            return;
+        };
+        let (phase, worker) = self
+            .jobs
+            .task(slot)
+            .map_or((TaskPhase::Waiting, None), |task| (task.phase, task.worker));
+        let id = worker.map_or_else(String::new, |worker| {
+            self.workers.get(worker).report.id.clone()
+        });
+        self.log(
+            "run_lost",
+            Some(run.task.job),
+            format!("run={run} worker={id} was={phase:?} cause={cause}"),
+        );
+        self.release(slot, now, TimeSpan::ZERO);
+        self.mark_dirty(slot.job);
+    }
+
+    fn on_ended(&mut self, worker: WorkerSlot, end: ListedEnd, now: TimePoint) {
+        let name = end.run;
+        let slot = self.jobs.locate(name.task);
+        let current = slot.filter(|slot| {
+            self.jobs.task(*slot).is_some_and(|task| {
+                task.worker == Some(worker)
+                    && task.attempt == name.attempt
+                    && task.phase.is_placed()
+                    && task.phase != TaskPhase::Recording
+            })
+        });
+        let id = self.workers.get(worker).report.id.clone();
+        let number = end.number;
+        let Some(slot) = current else {
+            self.log(
+                "run_ended",
+                Some(name.task.job),
+                format!(
+                    "run={name} worker={id} number={number} end={} taken=false",
+                    end.end
+                ),
+            );
+            return;
+        };
+        let lasting = self.jobs.step(slot).is_some_and(|step| step.lasting);
+        let started = self.jobs.task(slot).map_or(now, |task| task.since);
+        self.log(
+            "run_ended",
+            Some(name.task.job),
+            format!(
+                "run={name} worker={id} number={number} end={} ran={}",
+                end.end,
+                now.since(started)
+            ),
+        );
+        if !end.checkpoint.is_empty()
+            && let Some(task) = self.jobs.task_mut(slot)
+        {
+            task.checkpoint = end.checkpoint;
+        }
+        match end.end {
+            RunEnd::Done if !lasting => {
+                self.workers.get_mut(worker).failures = 0;
+                self.finish_task(slot, now);
+            }
+            RunEnd::Failed => self.fail_task(slot, worker, lasting, now),
+            RunEnd::Done
+            | RunEnd::Stopped
+            | RunEnd::Lapsed
+            | RunEnd::GangBroken
+            | RunEnd::GangAlone => self.release(slot, now, TimeSpan::ZERO),
+        }
+        self.mark_dirty(slot.job);
+    }
+
+    /// A task has done its work; so have the others of its gang.
+    fn finish_task(&mut self, slot: TaskSlot, now: TimePoint) {
+        let Some(job) = self.jobs.get(slot.job) else {
+            return;
+        };
+        let number = usize::from(job.step_of(slot.task));
+        let step = job.spec.steps[number].clone();
+        let first = job.first_tasks[number];
+        let members = if step.gang {
+            first..first + u32::from(step.count)
+        } else {
+            slot.task..slot.task + 1
+        };
+        for task in members {
+            let member = TaskSlot { task, ..slot };
+            self.unplace(member);
+            let Some(job) = self.jobs.get_mut(slot.job) else {
+                return;
+            };
+            let Some(occurrence) = job.occurrence_mut(slot.occurrence) else {
+                return;
+            };
+            let entry = &mut occurrence.tasks[task as usize];
+            if entry.phase != TaskPhase::Done {
+                entry.phase = TaskPhase::Done;
+                entry.since = now;
+                occurrence.left[number] = occurrence.left[number].saturating_sub(1);
+            }
+        }
+        self.place_due = true;
+        let Some(job) = self.jobs.get_mut(slot.job) else {
+            return;
+        };
+        if job.state.is_final() {
+            self.drop_if_over(slot.job);
+        } else if job.settle() {
+            job.state = JobState::Completed;
+            job.ended_at = now;
+            let id = job.id;
+            let took = now.since(job.accepted_at);
+            self.log("job_completed", Some(id), format!("took={took}"));
+        }
+    }
+
+    fn fail_task(&mut self, slot: TaskSlot, worker: WorkerSlot, lasting: bool, now: TimePoint) {
+        let entry = self.workers.get_mut(worker);
+        entry.failures += 1;
+        if entry.failures >= FAILURE_LIMIT {
+            let doublings = (entry.failures - FAILURE_LIMIT).min(4);
+            let shun = FAILURE_SHUN
+                .scale(f64::from(1u32 << doublings))
+                .min(LONGEST_SHUN);
+            entry.shunned_until = now + shun;
+            let detail = format!(
+                "worker={} failures={} for={shun}",
+                entry.report.id, entry.failures
+            );
+            self.log("worker_shunned", None, detail);
+        }
+        self.release(slot, now, TimeSpan::ZERO);
+        let Some(job) = self.jobs.get(slot.job) else {
+            return;
+        };
+        let limit = self.queue_rule(job).max_attempts.max(1);
+        let id = job.id;
+        let Some(task) = self.jobs.task_mut(slot) else {
+            return;
+        };
+        task.failures += 1;
+        task.avoid = Some(worker);
+        let failures = task.failures;
+        let over = self
+            .jobs
+            .get(slot.job)
+            .is_some_and(|job| job.state.is_final());
+        if !lasting && failures >= limit && !over {
+            self.end_job(slot.job, JobState::Failed, now);
+            self.log(
+                "job_failed",
+                Some(id),
+                format!("failures={failures} limit={limit}"),
+            );
+            self.drop_if_over(slot.job);
+        }
+    }
+
+    /// Compares what a worker lists as at work with what is placed there.
+    fn compare_runs(
+        &mut self,
+        worker: WorkerSlot,
+        clock_ms: u64,
+        running: &[ListedRun],
+        now: TimePoint,
+    ) {
+        let mut names: Vec<RunName> = running.iter().map(|listed| listed.run).collect();
+        names.sort_unstable();
+        let mut gauges = Vec::with_capacity(running.len());
+        for listed in running {
+            let slot = self.jobs.locate(listed.run.task);
+            let wanted = slot.filter(|slot| {
+                self.jobs.task(*slot).is_some_and(|task| {
+                    task.worker == Some(worker)
+                        && task.attempt == listed.run.attempt
+                        && task.phase.is_placed()
+                })
+            });
+            let Some(slot) = wanted else {
+                self.stop_run(worker, listed.run, "not_wanted");
+                continue;
+            };
+            if let Some(value) = listed.gauge {
+                gauges.push(TaskGauge { slot, value });
+            }
+            let over = self
+                .jobs
+                .get(slot.job)
+                .is_none_or(|job| job.state.is_final());
+            let Some(task) = self.jobs.task_mut(slot) else {
+                continue;
+            };
+            if task.phase != TaskPhase::Running {
+                task.phase = TaskPhase::Running;
+                task.since = now;
+            }
+            task.unsure = false;
+            task.confirmed_ms = task.confirmed_ms.max(clock_ms);
+            task.percent = listed.percent;
+            if !listed.checkpoint.is_empty() && task.checkpoint != listed.checkpoint {
+                task.checkpoint.clone_from(&listed.checkpoint);
+            }
+            if over && !task.stopping {
+                self.order_stop(slot, "job_over");
+            }
+        }
+        self.workers.get_mut(worker).gauges = gauges;
+        for slot in self.workers.get(worker).tasks.clone() {
+            let Some(run) = self.jobs.run_name(slot) else {
+                continue;
+            };
+            if names.binary_search(&run).is_ok() {
+                continue;
+            }
+            let Some(task) = self.jobs.task(slot) else {
+                continue;
+            };
+            let gone = match task.phase {
+                // The fencing token keeps a former coordinator's late start away.
+                TaskPhase::Limbo => true,
+                TaskPhase::Running => !task.unsure && clock_ms > task.confirmed_ms,
+                TaskPhase::Waiting
+                | TaskPhase::Recording
+                | TaskPhase::Starting
+                | TaskPhase::Done => false,
+            };
+            if gone {
+                self.lose_run(slot, "not_listed", now);
+            }
+        }
+    }
+
+    pub(super) fn on_started(
+        &mut self,
+        worker: WorkerSlot,
+        run: RunName,
+        answer: OrderAnswer,
+        now: TimePoint,
+    ) {
+        if answer == OrderAnswer::Fenced {
+            self.step_down("start", worker);
+            return;
+        }
+        let Some(slot) = self.placed_run(worker, run) else {
+            return;
+        };
+        let over = self
+            .jobs
+            .get(slot.job)
+            .is_none_or(|job| job.state.is_final());
+        let Some(task) = self.jobs.task_mut(slot) else {
+            return;
+        };
+        if task.phase != TaskPhase::Starting {
+            return;
+        }
+        let unsure = task.unsure;
+        match answer {
+            OrderAnswer::Accepted { clock_ms } => {
+                task.phase = TaskPhase::Running;
+                task.since = now;
+                task.unsure = false;
+                task.confirmed_ms = clock_ms;
+                if over {
+                    self.order_stop(slot, "job_over");
+                }
+                return;
+            }
+            OrderAnswer::Superseded => {
+                task.phase = TaskPhase::Running;
+                task.unsure = false;
+                return;
+            }
+            OrderAnswer::Missing => {
+                task.unsure = true;
+                self.shun(worker, MISSING_SHUN, "start_missing", now);
+                self.resend(worker, run, ResendKind::Start, now);
+                return;
+            }
+            OrderAnswer::NoRoom
+            | OrderAnswer::Unwell
+            | OrderAnswer::Expired
+            | OrderAnswer::BadTicket
+            | OrderAnswer::OtherLife
+            | OrderAnswer::Unsent
+            | OrderAnswer::Malformed
+            | OrderAnswer::Fenced => {}
+        }
+        let id = self.workers.get(worker).report.id.clone();
+        self.log(
+            "run_turned_away",
+            Some(run.task.job),
+            format!("run={run} worker={id} answer={answer:?} unsure={unsure}"),
+        );
+        match answer {
+            OrderAnswer::Unwell => self.shun(worker, UNWELL_SHUN, "unwell", now),
+            OrderAnswer::Unsent => self.shun(worker, MISSING_SHUN, "unreachable", now),
+            OrderAnswer::OtherLife => self.shun(worker, MISSING_SHUN, "other_life", now),
+            _ => {}
+        }
+        if unsure {
+            // An earlier send of this run may be carried out yet: only a stop rules that out.
+            self.order_stop(slot, "start_unsure");
+            if let Some(task) = self.jobs.task_mut(slot) {
+                task.phase = TaskPhase::Running;
+            }
+            return;
+        }
+        if let Some(task) = self.jobs.task_mut(slot) {
+            task.avoid = Some(worker);
+        }
+        self.release(slot, now, TURNED_AWAY_DELAY);
+        self.mark_dirty(slot.job);
+    }
+
+    pub(super) fn on_stopped(
+        &mut self,
+        worker: WorkerSlot,
+        run: RunName,
+        answer: OrderAnswer,
+        now: TimePoint,
+    ) {
+        match answer {
+            OrderAnswer::Fenced => self.step_down("stop", worker),
+            OrderAnswer::Accepted { clock_ms } => {
+                if let Some(slot) = self.placed_run(worker, run)
+                    && let Some(task) = self.jobs.task_mut(slot)
+                {
+                    task.unsure = false;
+                    task.confirmed_ms = task.confirmed_ms.max(clock_ms);
+                    if task.phase == TaskPhase::Starting {
+                        task.phase = TaskPhase::Running;
+                    }
+                }
+            }
+            OrderAnswer::Missing | OrderAnswer::Unwell | OrderAnswer::Unsent => {
+                if self.placed_run(worker, run).is_some() {
+                    self.resend(worker, run, ResendKind::Stop, now);
+                }
+            }
+            OrderAnswer::Superseded
+            | OrderAnswer::Expired
+            | OrderAnswer::NoRoom
+            | OrderAnswer::BadTicket
+            | OrderAnswer::OtherLife
+            | OrderAnswer::Malformed => {}
+        }
+    }
+
+    /// The slot of a run that is placed on a worker.
+    pub(super) fn placed_run(&self, worker: WorkerSlot, run: RunName) -> Option<TaskSlot> {
+        let slot = self.jobs.locate(run.task)?;
+        let task = self.jobs.task(slot)?;
+        let placed =
+            task.worker == Some(worker) && task.attempt == run.attempt && task.phase.is_placed();
+        placed.then_some(slot)
+    }
+
+    fn resend(&mut self, worker: WorkerSlot, run: RunName, kind: ResendKind, now: TimePoint) {
+        self.resends.push(ResendEntry {
+            at: now + RESEND_DELAY,
+            worker,
+            run,
+            kind,
+        });
+    }
+
+    /// Sends orders again that had no answer.
+    pub(super) fn resend_due(&mut self, now: TimePoint) {
+        if !self.has_authority(now) {
+            return;
+        }
+        let due: Vec<ResendEntry> = self
+            .resends
+            .iter()
+            .filter(|entry| entry.at <= now)
+            .copied()
+            .collect();
+        self.resends.retain(|entry| entry.at > now);
+        for entry in due {
+            let Some(slot) = self.placed_run(entry.worker, entry.run) else {
+                continue;
+            };
+            let over = self
+                .jobs
+                .get(slot.job)
+                .is_none_or(|job| job.state.is_final());
+            let starting = self
+                .jobs
+                .task(slot)
+                .is_some_and(|task| task.phase == TaskPhase::Starting);
+            if entry.kind == ResendKind::Stop || over {
+                self.order_stop(slot, "again");
+            } else if starting {
+                self.send_start(slot, now);
+            }
+        }
+    }
+
+    /// Sends the start of a run that is on record.
+    pub(super) fn send_start(&mut self, slot: TaskSlot, now: TimePoint) {
+        let Some(run) = self.jobs.run_name(slot) else {
+            return;
+        };
+        let Some(worker) = self.jobs.task(slot).and_then(|task| task.worker) else {
+            return;
+        };
+        let span = LEASE_SPAN.min(self.limits.longest_lease);
+        let entry = self.workers.get_mut(worker);
+        let deadline_ms = entry
+            .clock_at(now)
+            .map_or(0, |clock| clock + span.as_millis());
+        entry.granted_ms = entry.granted_ms.max(deadline_ms);
+        let target = self.target(worker);
+        let Some(job) = self.jobs.get(slot.job) else {
+            return;
+        };
+        let spec = job.spec.clone();
+        let Some(task) = self.jobs.task_mut(slot) else {
+            return;
+        };
+        task.phase = TaskPhase::Starting;
+        task.since = now;
+        let checkpoint = task.checkpoint.clone();
+        self.effects.push(Effect::Start {
+            target,
+            run,
+            spec,
+            deadline_ms,
+            checkpoint,
+        });
+    }
+
+    fn shun(&mut self, worker: WorkerSlot, span: TimeSpan, cause: &'static str, now: TimePoint) {
+        let entry = self.workers.get_mut(worker);
+        entry.shunned_until = entry.shunned_until.max(now + span);
+        let detail = format!("worker={} cause={cause} for={span}", entry.report.id);
+        self.log("worker_shunned", None, detail);
+    }
+
+    pub(super) fn step_down(&mut self, order: &'static str, worker: WorkerSlot) {
+        let detail = format!(
+            "order={order} worker={} fence={}",
+            self.workers.get(worker).report.id,
+            self.fence
+        );
+        self.log("fenced", None, detail);
+        self.effects.push(Effect::StepDown);
+    }
+
+    /// Gives up runs on workers whose leases are surely over.
+    pub(super) fn wait_out_leases(&mut self, now: TimePoint) {
+        for slot in self.workers.slots() {
+            let entry = self.workers.get(slot);
+            if !entry.tasks.is_empty() && entry.leases_over_at() <= now {
+                self.lose_tasks(slot, "lease_over", now);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/sapphirewalk_core/src/coordinator/recover.rs
@@ -0,0 +1,105 @@
+//! Taking office: what the record says, and what has to be waited out.
+
+use crate::coordinator::JobCoordinator;
+use crate::coordinator::JobRecord;
+use crate::coordinator::commit;
+use crate::coordinator::look;
+use crate::job_book::JobEntry;
+use crate::job_book::JobProgress;
+use crate::job_book::JobState;
+use crate::job_book::TaskSlot;
+use crate::job_spec::JobId;
+use crate::time::TimePoint;
+
+/// Slack for slow clocks of workers when a predecessor's leases are waited out.
+const SLOW_CLOCK_FACTOR: f64 = 1.02;
+
+/// What the store holds of jobs.
+#[derive(Clone, Debug, Default)]
+pub struct JobRecords {
+    /// Accepted jobs.
+    pub jobs: Vec<JobRecord>,
+    /// How far they have come.
+    pub progress: Vec<JobProgress>,
+    /// Jobs whose cancelling was accepted.
+    pub cancelled: Vec<JobId>,
+}
+
+impl JobCoordinator {
+    /// Takes over what a predecessor recorded. Runs on workers that don't answer count as alive
+    /// until the last lease that the predecessor can have given is over.
+    pub fn restore(&mut self, records: JobRecords, now: TimePoint) {
+        let JobRecords {
+            jobs,
+            mut progress,
+            cancelled,
+        } = records;
+        progress.sort_unstable_by_key(|row| row.id);
+        let inherited_until = now
+            + commit::AUTHORITY_SPAN
+            + look::LEASE_SPAN
+                .min(self.limits.longest_lease)
+                .scale(SLOW_CLOCK_FACTOR);
+        let total = jobs.len();
+        let mut unfinished = 0usize;
+        let mut limbo = 0usize;
+        for record in jobs {
+            let accepted_at = record.accepted_at.min(now);
+            let id = record.id;
+            let mut job = JobEntry::new(id, record.queue, record.pool, record.spec, accepted_at);
+            let found = progress.binary_search_by_key(&id, |row| row.id);
+            let row = found.ok().map(|index| progress[index].clone());
+            let placed = row.map_or_else(Vec::new, |row| {
+                let workers = &mut self.workers;
+                job.restore(&row, |name| workers.intern(name))
+            });
+            if job.state.is_final() {
+                job.ended_at = now;
+            } else {
+                unfinished += 1;
+                job.begin_due(now);
+            }
+            limbo += placed.len();
+            let Ok(slot) = self.jobs.insert(job) else {
+                continue;
+            };
+            for (occurrence, task, worker) in placed {
+                let task = TaskSlot {
+                    job: slot,
+                    occurrence,
+                    task,
+                };
+                if let Some(step) = self.jobs.step(task).cloned() {
+                    self.workers.get_mut(worker).add_task(task, &step);
+                }
+            }
+        }
+        for id in cancelled {
+            let Some(slot) = self.jobs.find(id) else {
+                continue;
+            };
+            if let Some(job) = self.jobs.get_mut(slot)
+                && !job.state.is_final()
+            {
+                job.state = JobState::Cancelled;
+                job.shown = JobState::Cancelled;
+                job.ended_at = now;
+                unfinished = unfinished.saturating_sub(1);
+                self.drop_if_over(slot);
+            }
+        }
+        self.inherited_until = inherited_until;
+        for slot in self.workers.slots() {
+            self.workers.get_mut(slot).inherited_until = inherited_until;
+        }
+        self.place_due = true;
+        self.log(
+            "office_taken",
+            None,
+            format!(
+                "fence={} jobs={total} unfinished={unfinished} runs={limbo}",
+                self.fence
+            ),
+        );
+    }
+}
--- /dev/null
+++ b/sapphirewalk_core/src/worker_book.rs
@@ -0,0 +1,252 @@
+//! The workers that a coordinator knows: what they have, what runs there, and until when.
+
+use std::net;
+
+use crate::job_book::TaskSlot;
+use crate::job_spec::StepSpec;
+use crate::resource::ResourceVector;
+use crate::time::TimePoint;
+use crate::time::TimeSpan;
+
+/// Workers' clocks may run this much slow, as the platform states.
+const SLOW_CLOCK_FACTOR: f64 = 1.02;
+/// Added to the end of a lease before it counts as over, for the granularity of clocks.
+const LEASE_MARGIN: TimeSpan = TimeSpan::from_millis(50);
+
+/// A filling task's share of its processor time when nothing holds it back, in percent.
+pub const FULL_PACE: u32 = 100;
+
+/// A worker in the arena.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub struct WorkerSlot(pub u32);
+
+/// What the platform's list says of a worker.
+#[derive(Clone, Debug, PartialEq)]
+pub struct WorkerReport {
+    /// The worker's identifier.
+    pub id: String,
+    /// The pool.
+    pub pool: String,
+    /// Where it takes orders.
+    pub address: net::SocketAddr,
+    /// The failure domain.
+    pub domain: String,
+    /// The rack.
+    pub rack: String,
+    /// All labels.
+    pub labels: Vec<String>,
+    /// What it has.
+    pub capacity: ResourceVector,
+    /// It is about to leave.
+    pub draining: bool,
+    /// When this life of it began, in Unix ms; 0 when it doesn't say.
+    pub born_ms: u64,
+}
+
+/// A reading of a worker's clock.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ClockReading {
+    /// The worker's clock in ms.
+    pub worker_ms: u64,
+    /// When the answer that held it came.
+    pub at: TimePoint,
+}
+
+/// A lasting task's tail, or another task's processor use, as its worker last said.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct TaskGauge {
+    /// The task.
+    pub slot: TaskSlot,
+    /// Milliseconds for a lasting task, thousandths of a core for any other.
+    pub value: f64,
+}
+
+/// One worker.
+#[derive(Clone, Debug)]
+pub struct WorkerEntry {
+    /// What the platform's list said last.
+    pub report: WorkerReport,
+    /// It stands in the list.
+    pub listed: bool,
+    /// The life that answered last, in Unix ms; 0 before the first answer.
+    pub born_ms: u64,
+    /// It has answered a look under the present fencing token.
+    pub adopted: bool,
+    /// The last reading of its clock.
+    pub clock: Option<ClockReading>,
+    /// The latest deadline given, on the worker's clock.
+    pub granted_ms: u64,
+    /// The latest end of leases that a former coordinator may have given.
+    pub inherited_until: TimePoint,
+    /// Tasks placed there, sorted.
+    pub tasks: Vec<TaskSlot>,
+    /// What these take.
+    pub used: ResourceVector,
+    /// The highest end listed and handled.
+    pub seen: u64,
+    /// The highest end that is on record and may be forgotten by the worker.
+    pub noted: u64,
+    /// A look is on its way.
+    pub looking: bool,
+    /// No look before then.
+    pub next_look: TimePoint,
+    /// When it last answered anything.
+    pub answered_at: TimePoint,
+    /// Answers missing in a row.
+    pub misses: u32,
+    /// Gets no new tasks until then.
+    pub shunned_until: TimePoint,
+    /// Runs that failed in a row, with none done between.
+    pub failures: u32,
+    /// What its tasks last showed.
+    pub gauges: Vec<TaskGauge>,
+}
+
+/// The workers, by slot and by identifier.
+#[derive(Debug, Default)]
+pub struct WorkerBook {
+    entries: Vec<WorkerEntry>,
+    by_id: Vec<(String, WorkerSlot)>,
+}
+
+impl WorkerEntry {
+    fn new(report: WorkerReport) -> Self {
+        Self {
+            report,
+            listed: false,
+            born_ms: 0,
+            adopted: false,
+            clock: None,
+            granted_ms: 0,
+            inherited_until: TimePoint::EPOCH,
+            tasks: Vec::new(),
+            used: ResourceVector::ZERO,
+            seen: 0,
+            noted: 0,
+            looking: false,
+            next_look: TimePoint::EPOCH,
+            answered_at: TimePoint::EPOCH,
+            misses: 0,
+            shunned_until: TimePoint::EPOCH,
+            failures: 0,
+            gauges: Vec::new(),
+        }
+    }
+
+    /// The worker's clock now, at the least.
+    pub fn clock_at(&self, now: TimePoint) -> Option<u64> {
+        let reading = self.clock?;
+        Some(reading.worker_ms + now.since(reading.at).as_millis())
+    }
+
+    /// When every lease given there is surely over.
+    pub fn leases_over_at(&self) -> TimePoint {
+        let Some(reading) = self.clock else {
+            return self.inherited_until;
+        };
+        let left = TimeSpan::from_millis(self.granted_ms.saturating_sub(reading.worker_ms));
+        let own = reading.at + left.scale(SLOW_CLOCK_FACTOR) + LEASE_MARGIN;
+        own.max(self.inherited_until)
+    }
+
+    /// What is free.
+    pub fn free(&self) -> ResourceVector {
+        self.report.capacity.saturating_sub(self.used)
+    }
+
+    /// Whether it may get new tasks.
+    pub fn is_usable(&self, now: TimePoint, silence: TimeSpan) -> bool {
+        self.listed
+            && self.adopted
+            && !self.report.draining
+            && now >= self.shunned_until
+            && now.since(self.answered_at) <= silence
+    }
+
+    /// Whether it is looked at: it stands in the list, or may still run something.
+    pub const fn is_looked_at(&self) -> bool {
+        (self.listed || !self.tasks.is_empty()) && self.report.address.port() != 0
+    }
+
+    /// Whether it carries a label.
+    pub fn has_label(&self, label: &str) -> bool {
+        self.report.labels.iter().any(|known| known == label)
+    }
+
+    /// Puts a task there.
+    pub fn add_task(&mut self, slot: TaskSlot, step: &StepSpec) {
+        if let Err(place) = self.tasks.binary_search(&slot) {
+            self.tasks.insert(place, slot);
+            self.used = self.used + counted_demand(step);
+        }
+    }
+
+    /// Takes a task away.
+    pub fn remove_task(&mut self, slot: TaskSlot, step: &StepSpec) {
+        if let Ok(place) = self.tasks.binary_search(&slot) {
+            self.tasks.remove(place);
+            self.used = self.used.saturating_sub(counted_demand(step));
+            self.gauges.retain(|gauge| gauge.slot != slot);
+        }
+    }
+}
+
+/// What a task of the step counts against its worker's capacity.
+pub fn counted_demand(step: &StepSpec) -> ResourceVector {
+    let mut demand = step.demand;
+    if step.filler {
+        demand.cpu_millis = 0;
+    }
+    demand
+}
+
+impl WorkerBook {
+    /// The slot of a worker, made if needed.
+    pub fn intern(&mut self, id: &str) -> WorkerSlot {
+        match self
+            .by_id
+            .binary_search_by(|(known, _)| known.as_str().cmp(id))
+        {
+            Ok(found) => self.by_id[found].1,
+            Err(place) => {
+                let slot = WorkerSlot(u32::try_from(self.entries.len()).unwrap_or(u32::MAX));
+                self.entries.push(WorkerEntry::new(WorkerReport {
+                    id: id.to_owned(),
+                    pool: String::new(),
+                    address: net::SocketAddr::from(([0, 0, 0, 0], 0)),
+                    domain: String::new(),
+                    rack: String::new(),
+                    labels: Vec::new(),
+                    capacity: ResourceVector::ZERO,
+                    draining: false,
+                    born_ms: 0,
+                }));
+                self.by_id.insert(place, (id.to_owned(), slot));
+                slot
+            }
+        }
+    }
+
+    /// A worker.
+    pub fn get(&self, slot: WorkerSlot) -> &WorkerEntry {
+        &self.entries[slot.0 as usize]
+    }
+
+    /// A worker, to change it.
+    pub fn get_mut(&mut self, slot: WorkerSlot) -> &mut WorkerEntry {
+        &mut self.entries[slot.0 as usize]
+    }
+
+    /// All workers.
+    pub fn iter(&self) -> impl Iterator<Item = (WorkerSlot, &WorkerEntry)> {
+        self.entries
+            .iter()
+            .zip(0u32..)
+            .map(|(entry, slot)| (WorkerSlot(slot), entry))
+    }
+
+    /// All slots.
+    pub fn slots(&self) -> impl Iterator<Item = WorkerSlot> + use<> {
+        (0..u32::try_from(self.entries.len()).unwrap_or(u32::MAX)).map(WorkerSlot)
+    }
+}
