--- a/sapphirewalk/src/entry/office.rs
+++ b/sapphirewalk/src/entry/office.rs
@@ -23,6 +23,8 @@
 const ROW_TIMEOUT: time::Duration = time::Duration::from_millis(800);
 /// Time for taking the office.
 const TAKE_TIMEOUT: time::Duration = time::Duration::from_millis(1_000);
+/// Time before the office's row is read again while its holder takes or leaves the office.
+const SETTLE_DELAY: time::Duration = time::Duration::from_millis(30);
 /// VMs stand in line for the office in this many places.
 const LINE_PLACES: u64 = 8;
 /// Time between two places in the line: several store calls.
@@ -59,20 +61,16 @@
     let end = peer::follow(node, view.row.address).await;
     slog::info!(node.log, "office_doubted"; "vm" => &view.row.vm, "fence" => view.row.fence,
         "cause" => ?end);
-    match end {
-        LinkEnd::Refused | LinkEnd::Vacant => {
+    match judge(end, view.row.incarnation) {
+        HolderVerdict::Gone => {
             let Ok(Some(now)) = read_view(node).await else {
                 return;
             };
-            if now.row.fence == view.row.fence && (end == LinkEnd::Refused || now.row.vacant) {
+            if now.row.fence == view.row.fence {
                 contend(node, Some(now)).await;
             }
         }
-        LinkEnd::Silent | LinkEnd::Stale | LinkEnd::Broken => {
-            if end == LinkEnd::Broken {
-                // A process that has ended refuses the next connection.
-                return;
-            }
+        HolderVerdict::Doubtful => {
             let Ok(Some(before)) = read_view(node).await else {
                 tokio::time::sleep(RETRY_DELAY).await;
                 return;
@@ -85,6 +83,29 @@
                 contend(node, Some(after)).await;
             }
         }
+        HolderVerdict::Settling => tokio::time::sleep(SETTLE_DELAY).await,
+    }
+}
+
+/// What the end of a connection says of the process in office.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum HolderVerdict {
+    /// It has ended.
+    Gone,
+    /// It may have lost the store, or only the way here.
+    Doubtful,
+    /// It is taking the office, or leaving it: the row will tell.
+    Settling,
+}
+
+/// Judges the process in office, of the life that the office's row names.
+pub const fn judge(end: LinkEnd, incarnation: u64) -> HolderVerdict {
+    match end {
+        LinkEnd::Refused => HolderVerdict::Gone,
+        LinkEnd::Absent(other) if other != incarnation => HolderVerdict::Gone,
+        // A process that has ended refuses the next connection.
+        LinkEnd::Absent(_) | LinkEnd::Broken => HolderVerdict::Settling,
+        LinkEnd::Silent | LinkEnd::Stale => HolderVerdict::Doubtful,
     }
 }
 
--- a/sapphirewalk/src/entry/peer.rs
+++ b/sapphirewalk/src/entry/peer.rs
@@ -74,8 +74,8 @@
         /// Time since the last batch went on record.
         recorded_ago: TimeSpan,
     },
-    /// Not in office, or not any more.
-    Vacant,
+    /// This life of the process is not in office.
+    Absent { incarnation: u64 },
 }
 
 /// A connection to the coordinator in office.
@@ -97,8 +97,8 @@
 pub enum LinkEnd {
     /// The VM refuses connections: its process is gone.
     Refused,
-    /// It has left the office.
-    Vacant,
+    /// The process there, in this life, is not in office.
+    Absent(u64),
     /// It doesn't answer.
     Silent,
     /// It has not recorded anything for too long: it has lost the store.
@@ -198,7 +198,10 @@
     let mut beat = tokio::time::interval(BEAT_INTERVAL);
     loop {
         let Some(office) = node.own_office() else {
-            let _last = framed.send(encode(&PeerMessage::Vacant)).await;
+            let absent = PeerMessage::Absent {
+                incarnation: node.incarnation,
+            };
+            let _last = framed.send(encode(&absent)).await;
             return;
         };
         let message = tokio::select! {
@@ -321,7 +324,7 @@
         Ok(PeerMessage::Beat { recorded_ago, .. }) => {
             (recorded_ago > STALE_LIMIT).then_some(LinkEnd::Stale)
         }
-        Ok(PeerMessage::Vacant) => Some(LinkEnd::Vacant),
+        Ok(PeerMessage::Absent { incarnation }) => Some(LinkEnd::Absent(incarnation)),
         Err(_unreadable) => Some(LinkEnd::Broken),
     }
 }
