--- a/sapphirewalk_core/src/coordinator/mod.rs
+++ b/sapphirewalk_core/src/coordinator/mod.rs
@@ -26,7 +26,7 @@
 pub use event::RunEnd;
 pub use recover::JobRecords;
 
-use crate::fill_pace::PaceKeeper;
+use crate::fill_pace::PressureModel;
 use crate::job_book::JobBook;
 use crate::job_book::JobEntry;
 use crate::job_book::JobSlot;
@@ -64,7 +64,7 @@
     pub jobs: JobBook,
     /// Workers by slot.
     pub workers: WorkerBook,
-    pace: PaceKeeper,
+    pressure: PressureModel,
     dirty: Vec<JobSlot>,
     removed: Vec<JobId>,
     commit: commit::CommitState,
@@ -89,7 +89,7 @@
             rules: WorkRules::default(),
             jobs: JobBook::default(),
             workers: WorkerBook::default(),
-            pace: PaceKeeper::default(),
+            pressure: PressureModel::default(),
             dirty: Vec::new(),
             removed: Vec::new(),
             commit: commit::CommitState::new(now),
--- a/sapphirewalk_core/src/coordinator/place.rs
+++ b/sapphirewalk_core/src/coordinator/place.rs
@@ -226,7 +226,10 @@
                 continue;
             }
             let mut score = if step.filler {
-                self.filler_score(worker, step)
+                match self.filler_score(worker, step) {
+                    Some(score) => score,
+                    None => continue,
+                }
             } else if step.lasting {
                 self.lasting_score(worker, step) - others as f64 * SAME_STEP_PENALTY
             } else {
--- a/sapphirewalk_core/src/worker_book.rs
+++ b/sapphirewalk_core/src/worker_book.rs
@@ -100,6 +100,10 @@
     pub failures: u32,
     /// What its tasks last showed.
     pub gauges: Vec<TaskGauge>,
+    /// When these were last learned from.
+    pub sampled_at: TimePoint,
+    /// Since when some tail there is over its target.
+    pub strained_since: Option<TimePoint>,
 }
 
 /// The workers, by slot and by identifier.
@@ -130,6 +134,8 @@
             shunned_until: TimePoint::EPOCH,
             failures: 0,
             gauges: Vec::new(),
+            sampled_at: TimePoint::EPOCH,
+            strained_since: None,
         }
     }
 
