--- a/sapphirewalk_core/src/coordinator/pace.rs
+++ b/sapphirewalk_core/src/coordinator/pace.rs
@@ -7,6 +7,7 @@
 use crate::coordinator::Effect;
 use crate::coordinator::JobCoordinator;
 use crate::coordinator::OrderAnswer;
+use crate::fill_pace::ImageKey;
 use crate::fill_pace::ImageLoad;
 use crate::job_book::TaskPhase;
 use crate::job_book::TaskSlot;
@@ -14,6 +15,7 @@
 use crate::job_spec::StepSpec;
 use crate::time::TimePoint;
 use crate::time::TimeSpan;
+use crate::worker_book;
 use crate::worker_book::TaskGauge;
 use crate::worker_book::WorkerSlot;
 
@@ -26,8 +28,20 @@
 const UNEXPLAINED_SPAN: TimeSpan = TimeSpan::from_millis(900);
 /// A tail over its target makes every filling task leave after this long.
 const CLEARING_SPAN: TimeSpan = TimeSpan::from_millis(2_000);
-/// A filling task that raises a tail by this much (as a logarithm) explains that it is too long.
-const EXPLAINING_PRESSURE: f64 = 0.1;
+/// Logarithm of a tail over its target above which filling tasks are paced down: 0.9 of it.
+const PACE_ABOVE: f64 = -0.105;
+/// Logarithm that pacing aims at: 0.8 of the target.
+const PACE_AIM: f64 = -0.223;
+/// Logarithm below which paces rise again: 0.65 of the target.
+const RAISE_BELOW: f64 = -0.43;
+/// By how much paces rise at each sample, in percent.
+const RAISE_STEP: u32 = 25;
+/// A filling task at this pace or less is better off elsewhere,
+const LOW_PACE: u32 = 30;
+/// when it has been there for this long.
+const LOW_PACE_SPAN: TimeSpan = TimeSpan::from_millis(800);
+/// Tails are whole milliseconds; 0 stands for less than one.
+const MIN_TAIL_MS: f64 = 0.5;
 /// Expected logarithm of the tail over its target beyond which no filling task is added: 0.75 of
 /// the target, for the swing of loads.
 const PLACE_CEILING: f64 = -0.29;
@@ -37,6 +51,28 @@
 /// Weight of a worker's lasting tasks of the same image in the choice of a worker.
 const SAME_IMAGE_WEIGHT: f64 = 1.0;
 
+/// The tail of a lasting task.
+#[derive(Clone, Copy, Debug)]
+struct MeasuredTail {
+    image: ImageKey,
+    /// Logarithm of the tail over its target.
+    log_ratio: f64,
+}
+
+/// The pace that a filling task should have.
+#[derive(Clone, Copy, Debug)]
+struct FillerPace {
+    slot: TaskSlot,
+    image: ImageKey,
+    /// Share of the worker's processor that it uses.
+    share: f64,
+    /// By how much it raises the logarithm of the tail on which it presses most.
+    pressure: f64,
+    before: u32,
+    percent: u32,
+    paced_at: TimePoint,
+}
+
 impl JobCoordinator {
     /// Reviews the filling tasks on a worker that has just shown how its tasks do.
     pub(super) fn pace_worker(&mut self, worker: WorkerSlot, now: TimePoint) {
@@ -48,79 +84,162 @@
         let gauges = entry.gauges.clone();
         let capacity = entry.report.capacity.cpu_millis.max(1) as f64;
         let loads = self.filler_loads(&gauges, capacity);
-        let mut strained = Vec::new();
-        for gauge in &gauges {
+        let tails = self.learn_tails(&gauges, &loads, now);
+        let worst = worst_tail(&tails);
+        let entry = self.workers.get_mut(worker);
+        entry.strained_since = if worst > 0.0 {
+            Some(entry.strained_since.unwrap_or(now))
+        } else {
+            None
+        };
+        entry.worst_tail = worst;
+        let strained_for = entry
+            .strained_since
+            .map_or(TimeSpan::ZERO, |since| now.since(since));
+        let paces = self.filler_paces(&gauges, capacity, &tails);
+        let lowered = paces.iter().any(|pace| pace.percent < pace.before);
+        let mut unexplained = strained_for >= UNEXPLAINED_SPAN && !lowered;
+        for pace in paces {
+            let hopeless = pace.percent <= LOW_PACE
+                && pace.before <= LOW_PACE
+                && now.since(pace.paced_at) >= LOW_PACE_SPAN;
+            if hopeless || strained_for >= CLEARING_SPAN || unexplained {
+                unexplained = false;
+                self.expel(worker, &pace, worst, strained_for);
+            } else if pace.percent != pace.before {
+                self.change_pace(worker, &pace, worst, now);
+            }
+        }
+    }
+
+    /// Learns from the tails of lasting tasks at work; returns these.
+    fn learn_tails(
+        &mut self,
+        gauges: &[TaskGauge],
+        loads: &[ImageLoad],
+        now: TimePoint,
+    ) -> Vec<MeasuredTail> {
+        let mut tails = Vec::new();
+        for gauge in gauges {
             let Some(step) = self.jobs.step(gauge.slot) else {
                 continue;
             };
             let target = step.tail_target.as_millis() as f64;
-            let at_work = self
-                .jobs
-                .task(gauge.slot)
-                .is_some_and(|task| task.percent >= 100);
-            if !step.lasting || target <= 0.0 || !at_work {
+            if !step.lasting || target <= 0.0 || !self.is_at_work(gauge.slot) {
                 continue;
             }
             let image = self.pressure.intern(&step.image);
-            let ratio = gauge.value / target;
-            self.pressure.observe(image, &loads, ratio, now);
-            if ratio > 1.0 {
-                strained.push((image, ratio));
-            }
+            let ratio = gauge.value.max(MIN_TAIL_MS) / target;
+            self.pressure.observe(image, loads, ratio, now);
+            tails.push(MeasuredTail {
+                image,
+                log_ratio: ratio.ln(),
+            });
         }
-        if strained.is_empty() {
-            self.workers.get_mut(worker).strained_since = None;
-            return;
-        }
-        let entry = self.workers.get_mut(worker);
-        let since = *entry.strained_since.get_or_insert(now);
-        let span = now.since(since);
-        let mut fillers = Vec::new();
-        for gauge in &gauges {
+        tails
+    }
+
+    /// The pace that each filling task on a worker should have, those that press most first.
+    fn filler_paces(
+        &mut self,
+        gauges: &[TaskGauge],
+        capacity: f64,
+        tails: &[MeasuredTail],
+    ) -> Vec<FillerPace> {
+        let mut paces = Vec::new();
+        for gauge in gauges {
             let Some(step) = self.jobs.step(gauge.slot) else {
                 continue;
             };
-            let leaving = self.jobs.task(gauge.slot).is_none_or(|task| task.stopping);
-            if !step.filler || leaving {
+            if !step.filler {
                 continue;
             }
             let image = self.pressure.intern(&step.image);
-            let share = gauge.value.max(0.0) / capacity;
-            let pressure: f64 = strained
+            let Some(task) = self.jobs.task(gauge.slot) else {
+                continue;
+            };
+            if task.stopping || task.phase != TaskPhase::Running {
+                continue;
+            }
+            paces.push(FillerPace {
+                slot: gauge.slot,
+                image,
+                share: gauge.value.max(0.0) / capacity,
+                pressure: 0.0,
+                before: task.pace,
+                percent: task.pace,
+                paced_at: task.paced_at,
+            });
+        }
+        for pace in &mut paces {
+            let pressures = tails
                 .iter()
-                .map(|(lasting, _)| self.pressure.weight(*lasting, image) * share)
-                .sum();
-            fillers.push((pressure, share, gauge.slot));
+                .map(|tail| self.pressure.weight(tail.image, pace.image) * pace.share);
+            pace.pressure = pressures.fold(0.0, f64::max);
         }
-        fillers.sort_unstable_by(|one, other| {
-            let key = (other.0, other.1);
-            key.partial_cmp(&(one.0, one.1))
-                .unwrap_or(std::cmp::Ordering::Equal)
-        });
-        let worst = strained.iter().map(|(_, ratio)| *ratio).fold(0.0, f64::max);
-        for (pressure, share, slot) in fillers {
-            let explained = pressure > EXPLAINING_PRESSURE;
-            if span < CLEARING_SPAN && !explained && span < UNEXPLAINED_SPAN {
-                break;
+        for tail in tails {
+            let weights: Vec<f64> = paces
+                .iter()
+                .map(|pace| self.pressure.weight(tail.image, pace.image) * pace.share)
+                .collect();
+            let total: f64 = weights.iter().sum();
+            let excess = tail.log_ratio - PACE_AIM;
+            if tail.log_ratio <= PACE_ABOVE || total < HARMLESS_PRESSURE {
+                continue;
+            }
+            let factor = (1.0 - excess / total).clamp(0.0, 1.0);
+            for (pace, weight) in paces.iter_mut().zip(weights) {
+                if weight > HARMLESS_PRESSURE / 2.0 {
+                    let lowered = (f64::from(pace.before) * factor) as u32;
+                    pace.percent = pace.percent.min(lowered);
+                }
             }
-            self.expel(slot, worker, pressure, share, worst, span);
-            if span < CLEARING_SPAN && !explained {
-                break;
+        }
+        if worst_tail(tails) < RAISE_BELOW {
+            for pace in &mut paces {
+                let raised = (pace.before + RAISE_STEP).min(worker_book::FULL_PACE);
+                pace.percent = pace.percent.max(raised);
             }
         }
+        paces.sort_unstable_by(|one, other| {
+            let key = (other.pressure, other.share);
+            key.partial_cmp(&(one.pressure, one.share))
+                .unwrap_or(std::cmp::Ordering::Equal)
+        });
+        paces
+    }
+
+    fn change_pace(&mut self, worker: WorkerSlot, pace: &FillerPace, worst: f64, now: TimePoint) {
+        let Some(run) = self.jobs.run_name(pace.slot) else {
+            return;
+        };
+        let target = self.target(worker);
+        let percent = pace.percent;
+        self.log(
+            "filler_paced",
+            Some(run.task.job),
+            format!(
+                "run={run} worker={} percent={percent} before={} pressure={:.2} worst_tail={:.2}",
+                target.id,
+                pace.before,
+                pace.pressure,
+                worst.exp()
+            ),
+        );
+        if let Some(task) = self.jobs.task_mut(pace.slot) {
+            task.pace = percent;
+            task.paced_at = now;
+        }
+        self.effects.push(Effect::Pace {
+            target,
+            run,
+            percent,
+        });
     }
 
     /// Makes a filling task leave its worker: it is paced down at once, and stopped.
-    fn expel(
-        &mut self,
-        slot: TaskSlot,
-        worker: WorkerSlot,
-        pressure: f64,
-        share: f64,
-        worst: f64,
-        span: TimeSpan,
-    ) {
-        let Some(run) = self.jobs.run_name(slot) else {
+    fn expel(&mut self, worker: WorkerSlot, pace: &FillerPace, worst: f64, strained_for: TimeSpan) {
+        let Some(run) = self.jobs.run_name(pace.slot) else {
             return;
         };
         let target = self.target(worker);
@@ -128,12 +247,16 @@
             "filler_expelled",
             Some(run.task.job),
             format!(
-                "run={run} worker={} pressure={pressure:.2} share={share:.2} tail_ratio={worst:.1} \
-                 strained_for={span}",
-                target.id
+                "run={run} worker={} pace={} pressure={:.2} share={:.2} worst_tail={:.2} \
+                 strained_for={strained_for}",
+                target.id,
+                pace.before,
+                pace.pressure,
+                pace.share,
+                worst.exp()
             ),
         );
-        if let Some(task) = self.jobs.task_mut(slot) {
+        if let Some(task) = self.jobs.task_mut(pace.slot) {
             task.avoid = Some(worker);
         }
         self.effects.push(Effect::Pace {
@@ -141,7 +264,7 @@
             run,
             percent: 0,
         });
-        self.order_stop(slot, "harm");
+        self.order_stop(pace.slot, "harm");
     }
 
     /// What filling images use of a worker's processor, as it last said.
@@ -170,11 +293,13 @@
             self.step_down("pace", worker);
             return;
         }
-        if let OrderAnswer::Accepted { .. } = answer
+        if !matches!(answer, OrderAnswer::Accepted { .. })
             && let Some(slot) = self.placed_run(worker, run)
             && let Some(task) = self.jobs.task_mut(slot)
+            && task.pace == percent
         {
-            task.pace = percent;
+            // Asked again at the next sample that calls for it.
+            task.pace = worker_book::FULL_PACE;
         }
     }
 
@@ -184,6 +309,7 @@
         if entry.strained_since.is_some() {
             return None;
         }
+        let worst = entry.worst_tail;
         let capacity = entry.report.capacity.cpu_millis.max(1) as f64;
         let mut left = 1.0;
         let mut loads: Vec<ImageLoad> = Vec::new();
@@ -213,7 +339,8 @@
             add_load(&mut loads, image, share);
             for kind in lasting {
                 let added = self.pressure.weight(kind, image) * share;
-                if added > HARMLESS_PRESSURE && self.pressure.expect(kind, &loads) > PLACE_CEILING {
+                let expected = self.pressure.expect(kind, &loads).max(worst + added);
+                if added > HARMLESS_PRESSURE && expected > PLACE_CEILING {
                     return None;
                 }
                 total += added;
@@ -258,9 +385,15 @@
 /// How alike an empty worker counts: better than a mix, worse than its own image.
 const EMPTY_ALIKE: f64 = 0.6;
 
-fn add_load(loads: &mut Vec<ImageLoad>, image: crate::fill_pace::ImageKey, share: f64) {
+fn add_load(loads: &mut Vec<ImageLoad>, image: ImageKey, share: f64) {
     match loads.iter_mut().find(|load| load.image == image) {
         Some(load) => load.share += share,
         None => loads.push(ImageLoad { image, share }),
     }
 }
+
+/// The worst of the tails, as the logarithm over its target.
+fn worst_tail(tails: &[MeasuredTail]) -> f64 {
+    let ratios = tails.iter().map(|tail| tail.log_ratio);
+    ratios.fold(f64::MIN, f64::max)
+}
--- a/sapphirewalk_core/src/worker_book.rs
+++ b/sapphirewalk_core/src/worker_book.rs
@@ -104,6 +104,8 @@
     pub sampled_at: TimePoint,
     /// Since when some tail there is over its target.
     pub strained_since: Option<TimePoint>,
+    /// Logarithm of the worst tail there over its target, at the last sample.
+    pub worst_tail: f64,
 }
 
 /// The workers, by slot and by identifier.
@@ -136,6 +138,7 @@
             gauges: Vec::new(),
             sampled_at: TimePoint::EPOCH,
             strained_since: None,
+            worst_tail: f64::MIN,
         }
     }
 
