--- a/sapphirewalk/src/entry/node.rs
+++ b/sapphirewalk/src/entry/node.rs
@@ -70,7 +70,7 @@
     pub fn new(settings: EntrySettings, log: slog::Logger) -> Self {
         let clock = ProcessClock::start();
         Self {
-            incarnation: clock.now().as_micros(),
+            incarnation: rand::random(),
             store: StoreClient::new(settings.store_address),
             settings,
             clock,
--- a/sapphirewalk/src/entry/settings.rs
+++ b/sapphirewalk/src/entry/settings.rs
@@ -30,6 +30,9 @@
     pub store_address: net::SocketAddr,
     /// The VM's share of a core; VMs with a larger one are quicker to take office.
     pub cpu_share: f64,
+    /// TUNE
+    #[serde(default)]
+    pub tune: Vec<f64>,
     /// Bounds that the platform states.
     pub bounds: EntryBounds,
 }
--- a/sapphirewalk_core/src/coordinator/commit.rs
+++ b/sapphirewalk_core/src/coordinator/commit.rs
@@ -149,6 +149,7 @@
         self.commit.recorded_at = batch.sent_at;
         for (slot, state) in batch.jobs {
             if let Some(job) = self.jobs.get_mut(slot)
+                && state.is_final()
                 && job.shown != JobState::Cancelled
             {
                 job.shown = state;
@@ -182,11 +183,6 @@
         if over {
             self.release(slot, now, TimeSpan::ZERO);
         } else {
-            if let Some(job) = self.jobs.get_mut(slot.job)
-                && job.shown == JobState::Queued
-            {
-                job.shown = JobState::Running;
-            }
             self.send_start(slot, now);
         }
     }
--- a/sapphirewalk_core/src/coordinator/look.rs
+++ b/sapphirewalk_core/src/coordinator/look.rs
@@ -273,6 +273,7 @@
                 now.since(started)
             ),
         );
+        self.note_begun(slot);
         if !end.checkpoint.is_empty()
             && let Some(task) = self.jobs.task_mut(slot)
         {
@@ -293,6 +294,18 @@
         self.mark_dirty(slot.job);
     }
 
+    /// A task of a job has begun: the job no longer counts as waiting.
+    fn note_begun(&mut self, slot: TaskSlot) {
+        if let Some(job) = self.jobs.get_mut(slot.job)
+            && job.state == JobState::Queued
+        {
+            job.state = JobState::Running;
+            if job.shown == JobState::Queued {
+                job.shown = JobState::Running;
+            }
+        }
+    }
+
     /// A task has done its work; so have the others of its gang.
     fn finish_task(&mut self, slot: TaskSlot, now: TimePoint) {
         let Some(job) = self.jobs.get(slot.job) else {
@@ -413,7 +426,8 @@
             let Some(task) = self.jobs.task_mut(slot) else {
                 continue;
             };
-            if task.phase != TaskPhase::Running {
+            let begun = task.phase != TaskPhase::Running;
+            if begun {
                 task.phase = TaskPhase::Running;
                 task.since = now;
             }
@@ -426,6 +440,9 @@
             if over && !task.stopping {
                 self.order_stop(slot, "job_over");
             }
+            if begun {
+                self.note_begun(slot);
+            }
         }
         self.workers.get_mut(worker).gauges = gauges;
         for slot in self.workers.get(worker).tasks.clone() {
@@ -487,6 +504,7 @@
                 if over {
                     self.order_stop(slot, "job_over");
                 }
+                self.note_begun(slot);
                 return;
             }
             OrderAnswer::Superseded => {
--- a/sapphirewalk_core/src/coordinator/pace.rs
+++ b/sapphirewalk_core/src/coordinator/pace.rs
@@ -8,6 +8,7 @@
 use crate::coordinator::JobCoordinator;
 use crate::coordinator::OrderAnswer;
 use crate::fill_pace::ImageKey;
+use crate::fill_pace::tune;
 use crate::fill_pace::ImageLoad;
 use crate::job_book::TaskPhase;
 use crate::job_book::TaskSlot;
@@ -98,12 +99,12 @@
             .map_or(TimeSpan::ZERO, |since| now.since(since));
         let paces = self.filler_paces(&gauges, capacity, &tails);
         let lowered = paces.iter().any(|pace| pace.percent < pace.before);
-        let mut unexplained = strained_for >= UNEXPLAINED_SPAN && !lowered;
+        let mut unexplained = strained_for >= TimeSpan::from_millis(tune(10, 900.0) as u64) && !lowered;
         for pace in paces {
-            let hopeless = pace.percent <= LOW_PACE
-                && pace.before <= LOW_PACE
-                && now.since(pace.paced_at) >= LOW_PACE_SPAN;
-            if hopeless || strained_for >= CLEARING_SPAN || unexplained {
+            let hopeless = pace.percent <= tune(3, LOW_PACE as f64) as u32
+                && pace.before <= tune(3, LOW_PACE as f64) as u32
+                && now.since(pace.paced_at) >= TimeSpan::from_millis(tune(9, 800.0) as u64);
+            if hopeless || strained_for >= TimeSpan::from_millis(tune(11, 2000.0) as u64) || unexplained {
                 unexplained = false;
                 self.expel(worker, &pace, worst, strained_for);
             } else if pace.percent != pace.before {
@@ -183,8 +184,8 @@
                 .map(|pace| self.pressure.weight(tail.image, pace.image) * pace.share)
                 .collect();
             let total: f64 = weights.iter().sum();
-            let excess = tail.log_ratio - PACE_AIM;
-            if tail.log_ratio <= PACE_ABOVE || total < HARMLESS_PRESSURE {
+            let excess = tail.log_ratio - tune(1, PACE_AIM);
+            if tail.log_ratio <= tune(0, PACE_ABOVE) || total < HARMLESS_PRESSURE {
                 continue;
             }
             let factor = (1.0 - excess / total).clamp(0.0, 1.0);
@@ -195,7 +196,7 @@
                 }
             }
         }
-        if worst_tail(tails) < RAISE_BELOW {
+        if worst_tail(tails) < tune(2, RAISE_BELOW) {
             for pace in &mut paces {
                 let raised = (pace.before + RAISE_STEP).min(worker_book::FULL_PACE);
                 pace.percent = pace.percent.max(raised);
@@ -340,13 +341,26 @@
             for kind in lasting {
                 let added = self.pressure.weight(kind, image) * share;
                 let expected = self.pressure.expect(kind, &loads).max(worst + added);
-                if added > HARMLESS_PRESSURE && expected > PLACE_CEILING {
+                if added > HARMLESS_PRESSURE && expected > tune(4, PLACE_CEILING) {
                     return None;
                 }
                 total += added;
             }
         }
-        Some(left - share - total)
+        Some(tune(6, 1.0) * (left - share) - tune(7, 1.0) * total - tune(8, 0.0) * self.openness(worker))
+    }
+
+    /// The share of filling images that press on nothing that lasts on a worker.
+    fn openness(&self, worker: WorkerSlot) -> f64 {
+        let entry = self.workers.get(worker);
+        let mut kinds: Vec<ImageKey> = entry.tasks.iter()
+            .filter_map(|slot| self.jobs.step(*slot))
+            .filter(|step| step.lasting)
+            .filter_map(|step| self.pressure.find(&step.image))
+            .collect();
+        kinds.sort_unstable();
+        kinds.dedup();
+        self.pressure.open_share(&kinds)
     }
 
     /// How well a worker suits a lasting task: beside tasks of its own image, so that filling
@@ -371,7 +385,7 @@
             EMPTY_ALIKE
         };
         let free = entry.free().cpu_millis as f64;
-        alike * SAME_IMAGE_WEIGHT + free / entry.report.capacity.cpu_millis.max(1) as f64
+        alike * SAME_IMAGE_WEIGHT + tune(5, 1.0) * free / entry.report.capacity.cpu_millis.max(1) as f64
     }
 
     /// Whether a lasting task is at work.
--- a/sapphirewalk_core/src/coordinator/place.rs
+++ b/sapphirewalk_core/src/coordinator/place.rs
@@ -4,7 +4,6 @@
 use crate::coordinator::look;
 use crate::job_book::JobEntry;
 use crate::job_book::JobSlot;
-use crate::job_book::JobState;
 use crate::job_book::TaskPhase;
 use crate::job_book::TaskSlot;
 use crate::job_order;
@@ -172,11 +171,6 @@
         task.unsure = false;
         task.stopping = false;
         task.pace = worker_book::FULL_PACE;
-        if let Some(job) = self.jobs.get_mut(slot.job)
-            && job.state == JobState::Queued
-        {
-            job.state = JobState::Running;
-        }
         self.mark_dirty(slot.job);
         let Some(run) = self.jobs.run_name(slot) else {
             return;
--- a/sapphirewalk_core/src/fill_pace.rs
+++ b/sapphirewalk_core/src/fill_pace.rs
@@ -142,6 +142,9 @@
     }
 }
 
+/// A pair of images with a greater weight presses: a filler on a fifth of the worker then raises
+/// the logarithm by a tenth.
+const PRESSING_WEIGHT: f64 = 0.5;
 /// Logarithm of the tail over the target of an image without samples.
 const UNSEEN_BASE: f64 = -0.8;
 
@@ -185,6 +188,23 @@
         fit.map_or(0.0, |fit| fit.weight(filler))
     }
 
+    /// The share of filling images that press on none of these lasting images.
+    pub fn open_share(&self, lasting: &[ImageKey]) -> f64 {
+        let mut all = 0.0;
+        let mut open = 0.0;
+        for (filler, number) in self.fits.iter().zip(0u32..) {
+            if filler.is_some() {
+                continue;
+            }
+            all += 1.0;
+            let key = ImageKey(number);
+            if lasting.iter().all(|kind| self.weight(*kind, key) < PRESSING_WEIGHT) {
+                open += 1.0;
+            }
+        }
+        if all > 0.0 { open / all } else { 1.0 }
+    }
+
     /// The expected logarithm of a lasting image's tail over its target beside these images.
     pub fn expect(&self, lasting: ImageKey, loads: &[ImageLoad]) -> f64 {
         let fit = self.fits[lasting.0 as usize].as_ref();
@@ -196,3 +216,10 @@
         base + pressure
     }
 }
+
+/// TUNE
+pub static TUNE: std::sync::OnceLock<Vec<f64>> = std::sync::OnceLock::new();
+/// TUNE
+pub fn tune(i: usize, default: f64) -> f64 {
+    TUNE.get().and_then(|t| t.get(i).copied()).filter(|v| !v.is_nan() && *v > -900.0).unwrap_or(default)
+}
