Keep fillers' room by image, and don't overbook what lasting tasks leave

Cause: a filler that found no worker closed the round to fillers of every other image; then, with lists of runs in hand: fillers piled up on the few workers open to their image, 54 cores of claims on 24, and held the memory there while hardly getting on.

--- a/sapphirewalk/src/entry/mod.rs
+++ b/sapphirewalk/src/entry/mod.rs
@@ -63,7 +63,6 @@
         Ok(settings) => settings,
         Err(fault) => return cli::report(&fault),
     };
-    let _ = sapphirewalk_core::fill_pace::TUNE.set(settings.tune.clone());
     if check {
         println!("the settings are sound");
         return process::ExitCode::SUCCESS;
--- a/sapphirewalk/src/entry/settings.rs
+++ b/sapphirewalk/src/entry/settings.rs
@@ -30,9 +30,6 @@
     pub store_address: net::SocketAddr,
     /// The VM's share of a core; VMs with a larger one are quicker to take office.
     pub cpu_share: f64,
-    /// TUNE
-    #[serde(default)]
-    pub tune: Vec<f64>,
     /// Bounds that the platform states.
     pub bounds: EntryBounds,
 }
@@ -83,7 +80,7 @@
         if self.vm.is_empty() {
             return Err(SettingsFault::OutOfRange("vm", "give the VM a name"));
         }
-        if !(self.cpu_share > 0.0) {
+        if self.cpu_share <= 0.0 {
             return Err(SettingsFault::OutOfRange(
                 "cpu_share",
                 "give a share above 0",
@@ -95,13 +92,13 @@
                 "give 1000 or more: shorter leases lapse between two looks",
             ));
         }
-        if !(self.bounds.retention_s > 0.0) {
+        if self.bounds.retention_s <= 0.0 {
             return Err(SettingsFault::OutOfRange(
                 "bounds.retention_s",
                 "give a span above 0",
             ));
         }
-        if !(self.bounds.stop_grace_s >= 1.0) {
+        if self.bounds.stop_grace_s < 1.0 {
             return Err(SettingsFault::OutOfRange(
                 "bounds.stop_grace_s",
                 "give 1 or more: requests in flight need time to end",
--- a/sapphirewalk_core/src/coordinator/mod.rs
+++ b/sapphirewalk_core/src/coordinator/mod.rs
@@ -436,6 +436,9 @@
                 }
             }
         }
+        for line in self.pressure.report(now) {
+            self.log("pressure_learned", None, line);
+        }
         self.wait_out_leases(now);
         self.resend_due(now);
         // Waiting tasks whose delay is over, and workers that are no longer shunned.
--- a/sapphirewalk_core/src/coordinator/pace.rs
+++ b/sapphirewalk_core/src/coordinator/pace.rs
@@ -8,7 +8,6 @@
 use crate::coordinator::JobCoordinator;
 use crate::coordinator::OrderAnswer;
 use crate::fill_pace::ImageKey;
-use crate::fill_pace::tune;
 use crate::fill_pace::ImageLoad;
 use crate::job_book::TaskPhase;
 use crate::job_book::TaskSlot;
@@ -29,23 +28,23 @@
 const UNEXPLAINED_SPAN: TimeSpan = TimeSpan::from_millis(900);
 /// A tail over its target makes every filling task leave after this long.
 const CLEARING_SPAN: TimeSpan = TimeSpan::from_millis(2_000);
-/// Logarithm of a tail over its target above which filling tasks are paced down: 0.9 of it.
-const PACE_ABOVE: f64 = -0.105;
-/// Logarithm that pacing aims at: 0.8 of the target.
-const PACE_AIM: f64 = -0.223;
-/// Logarithm below which paces rise again: 0.65 of the target.
-const RAISE_BELOW: f64 = -0.43;
+/// Logarithm of a tail over its target above which filling tasks are paced down: 1.2 times the
+/// target. Pacing at less holds tasks, and their memory, on workers where they hardly get on.
+const PACE_ABOVE: f64 = 0.2;
+/// Logarithm that pacing aims at: the target itself.
+const PACE_AIM: f64 = 0.0;
+/// Logarithm below which paces rise again.
+const RAISE_BELOW: f64 = 0.0;
 /// By how much paces rise at each sample, in percent.
-const RAISE_STEP: u32 = 25;
-/// A filling task at this pace or less is better off elsewhere,
-const LOW_PACE: u32 = 30;
-/// when it has been there for this long.
-const LOW_PACE_SPAN: TimeSpan = TimeSpan::from_millis(800);
+const RAISE_STEP: u32 = 50;
 /// Tails are whole milliseconds; 0 stands for less than one.
 const MIN_TAIL_MS: f64 = 0.5;
-/// Expected logarithm of the tail over its target beyond which no filling task is added: 0.75 of
+/// Expected logarithm of the tail over its target beyond which no filling task is added: 0.7 of
 /// the target, for the swing of loads.
-const PLACE_CEILING: f64 = -0.29;
+const PLACE_CEILING: f64 = -0.35;
+/// Share of a worker's processor by which filling tasks may claim more than is expected to be
+/// left. With more they hold memory for longer without getting more done.
+const OVERBOOKING: f64 = 0.05;
 /// A filling task that presses less than this on a lasting one (as a logarithm) may join it even
 /// where its tail is long already.
 const HARMLESS_PRESSURE: f64 = 0.03;
@@ -71,7 +70,6 @@
     pressure: f64,
     before: u32,
     percent: u32,
-    paced_at: TimePoint,
 }
 
 impl JobCoordinator {
@@ -93,22 +91,19 @@
         } else {
             None
         };
-        entry.worst_tail = worst;
+        entry.mean_tail = mean_tail(&tails);
         let strained_for = entry
             .strained_since
             .map_or(TimeSpan::ZERO, |since| now.since(since));
         let paces = self.filler_paces(&gauges, capacity, &tails);
         let lowered = paces.iter().any(|pace| pace.percent < pace.before);
-        let mut unexplained = strained_for >= TimeSpan::from_millis(tune(10, 900.0) as u64) && !lowered;
+        let mut unexplained = strained_for >= UNEXPLAINED_SPAN && !lowered;
         for pace in paces {
-            let hopeless = pace.percent <= tune(3, LOW_PACE as f64) as u32
-                && pace.before <= tune(3, LOW_PACE as f64) as u32
-                && now.since(pace.paced_at) >= TimeSpan::from_millis(tune(9, 800.0) as u64);
-            if hopeless || strained_for >= TimeSpan::from_millis(tune(11, 2000.0) as u64) || unexplained {
+            if strained_for >= CLEARING_SPAN || unexplained {
                 unexplained = false;
                 self.expel(worker, &pace, worst, strained_for);
             } else if pace.percent != pace.before {
-                self.change_pace(worker, &pace, worst, now);
+                self.change_pace(worker, &pace, worst);
             }
         }
     }
@@ -169,7 +164,6 @@
                 pressure: 0.0,
                 before: task.pace,
                 percent: task.pace,
-                paced_at: task.paced_at,
             });
         }
         for pace in &mut paces {
@@ -184,8 +178,8 @@
                 .map(|pace| self.pressure.weight(tail.image, pace.image) * pace.share)
                 .collect();
             let total: f64 = weights.iter().sum();
-            let excess = tail.log_ratio - tune(1, PACE_AIM);
-            if tail.log_ratio <= tune(0, PACE_ABOVE) || total < HARMLESS_PRESSURE {
+            let excess = tail.log_ratio - PACE_AIM;
+            if tail.log_ratio <= PACE_ABOVE || total < HARMLESS_PRESSURE {
                 continue;
             }
             let factor = (1.0 - excess / total).clamp(0.0, 1.0);
@@ -196,7 +190,7 @@
                 }
             }
         }
-        if worst_tail(tails) < tune(2, RAISE_BELOW) {
+        if worst_tail(tails) < RAISE_BELOW {
             for pace in &mut paces {
                 let raised = (pace.before + RAISE_STEP).min(worker_book::FULL_PACE);
                 pace.percent = pace.percent.max(raised);
@@ -210,7 +204,7 @@
         paces
     }
 
-    fn change_pace(&mut self, worker: WorkerSlot, pace: &FillerPace, worst: f64, now: TimePoint) {
+    fn change_pace(&mut self, worker: WorkerSlot, pace: &FillerPace, worst: f64) {
         let Some(run) = self.jobs.run_name(pace.slot) else {
             return;
         };
@@ -229,7 +223,6 @@
         );
         if let Some(task) = self.jobs.task_mut(pace.slot) {
             task.pace = percent;
-            task.paced_at = now;
         }
         self.effects.push(Effect::Pace {
             target,
@@ -307,10 +300,7 @@
     /// How well a worker suits a filling task; none where it would press a tail over its target.
     pub(super) fn filler_score(&self, worker: WorkerSlot, step: &StepSpec) -> Option<f64> {
         let entry = self.workers.get(worker);
-        if entry.strained_since.is_some() {
-            return None;
-        }
-        let worst = entry.worst_tail;
+        let mean = entry.mean_tail;
         let capacity = entry.report.capacity.cpu_millis.max(1) as f64;
         let mut left = 1.0;
         let mut loads: Vec<ImageLoad> = Vec::new();
@@ -333,34 +323,25 @@
             }
         }
         let share = step.demand.cpu_millis as f64 / capacity;
+        if left - share < -OVERBOOKING {
+            return None;
+        }
         let mut total = 0.0;
         if let Some(image) = self.pressure.find(&step.image) {
             lasting.sort_unstable();
             lasting.dedup();
             add_load(&mut loads, image, share);
             for kind in lasting {
-                let added = self.pressure.weight(kind, image) * share;
-                let expected = self.pressure.expect(kind, &loads).max(worst + added);
-                if added > HARMLESS_PRESSURE && expected > tune(4, PLACE_CEILING) {
+                let weight = self.pressure.weight(kind, image);
+                let added = weight * share;
+                let expected = self.pressure.expect(kind, &loads).max(mean + added);
+                if added > HARMLESS_PRESSURE && expected > PLACE_CEILING {
                     return None;
                 }
                 total += added;
             }
         }
-        Some(tune(6, 1.0) * (left - share) - tune(7, 1.0) * total - tune(8, 0.0) * self.openness(worker))
-    }
-
-    /// The share of filling images that press on nothing that lasts on a worker.
-    fn openness(&self, worker: WorkerSlot) -> f64 {
-        let entry = self.workers.get(worker);
-        let mut kinds: Vec<ImageKey> = entry.tasks.iter()
-            .filter_map(|slot| self.jobs.step(*slot))
-            .filter(|step| step.lasting)
-            .filter_map(|step| self.pressure.find(&step.image))
-            .collect();
-        kinds.sort_unstable();
-        kinds.dedup();
-        self.pressure.open_share(&kinds)
+        Some(left - share - total)
     }
 
     /// How well a worker suits a lasting task: beside tasks of its own image, so that filling
@@ -385,7 +366,7 @@
             EMPTY_ALIKE
         };
         let free = entry.free().cpu_millis as f64;
-        alike * SAME_IMAGE_WEIGHT + tune(5, 1.0) * free / entry.report.capacity.cpu_millis.max(1) as f64
+        alike * SAME_IMAGE_WEIGHT + free / entry.report.capacity.cpu_millis.max(1) as f64
     }
 
     /// Whether a lasting task is at work.
@@ -411,3 +392,13 @@
     let ratios = tails.iter().map(|tail| tail.log_ratio);
     ratios.fold(f64::MIN, f64::max)
 }
+
+/// The mean of the tails, as the logarithm over their targets.
+fn mean_tail(tails: &[MeasuredTail]) -> f64 {
+    let total: f64 = tails.iter().map(|tail| tail.log_ratio).sum();
+    if tails.is_empty() {
+        f64::MIN
+    } else {
+        total / tails.len() as f64
+    }
+}
--- a/sapphirewalk_core/src/coordinator/place.rs
+++ b/sapphirewalk_core/src/coordinator/place.rs
@@ -31,21 +31,41 @@
 /// Demands that found no room in this round.
 #[derive(Debug, Default)]
 struct FullMarks {
-    marks: Vec<(String, ResourceVector)>,
+    marks: Vec<FullMark>,
+}
+
+/// A demand that found no room. Filling tasks of other images may still find some, since it is
+/// what an image presses on that closes workers to it.
+#[derive(Debug)]
+struct FullMark {
+    pool: String,
+    filler: Option<String>,
+    least: ResourceVector,
 }
 
 impl FullMarks {
-    fn covers(&self, pool: &str, demand: ResourceVector) -> bool {
-        self.marks
-            .iter()
-            .any(|(full, least)| full == pool && least.fits(demand))
+    fn covers(&self, pool: &str, step: &StepSpec) -> bool {
+        let demand = worker_book::counted_demand(step);
+        self.marks.iter().any(|mark| {
+            mark.pool == pool
+                && mark.filler.as_deref() == filler_image(step)
+                && mark.least.fits(demand)
+        })
     }
 
-    fn add(&mut self, pool: &str, demand: ResourceVector) {
-        self.marks.push((pool.to_owned(), demand));
+    fn add(&mut self, pool: &str, step: &StepSpec) {
+        self.marks.push(FullMark {
+            pool: pool.to_owned(),
+            filler: filler_image(step).map(str::to_owned),
+            least: worker_book::counted_demand(step),
+        });
     }
 }
 
+fn filler_image(step: &StepSpec) -> Option<&str> {
+    step.filler.then_some(step.image.as_str())
+}
+
 impl JobCoordinator {
     /// Gives room to the steps that wait, most pressing first.
     pub(super) fn place(&mut self, now: TimePoint) {
@@ -102,9 +122,8 @@
         let index = usize::from(waiting.step);
         let spec = job.spec.clone();
         let step = &spec.steps[index];
-        let demand = worker_book::counted_demand(step);
         let plain = step.required_label.is_none() && step.per_worker == 0;
-        if full.covers(&waiting.pool, demand) {
+        if full.covers(&waiting.pool, step) {
             return;
         }
         let first = job.first_tasks[index];
@@ -127,7 +146,7 @@
         for slot in open {
             let Some(worker) = self.choose_worker(slot, step, waiting, now) else {
                 if plain {
-                    full.add(&waiting.pool, demand);
+                    full.add(&waiting.pool, step);
                 }
                 break;
             };
--- a/sapphirewalk_core/src/fill_pace.rs
+++ b/sapphirewalk_core/src/fill_pace.rs
@@ -13,6 +13,8 @@
 const HALF_LIFE: TimeSpan = TimeSpan::from_millis(20_000);
 /// Time between fits: a few samples of each worker come in between.
 const FIT_INTERVAL: TimeSpan = TimeSpan::from_millis(400);
+/// Time between reports of what has been learned.
+const REPORT_INTERVAL: TimeSpan = TimeSpan::from_millis(5_000);
 /// Sweeps of the fit over all weights; more change little, since each fit starts at the last.
 const FIT_SWEEPS: usize = 12;
 /// Pulls weights without evidence to 0; about one sample of a filler on a tenth of a worker.
@@ -40,6 +42,7 @@
     /// One fit for each lasting image, by key; none for images that only fill.
     fits: Vec<Option<ImageFit>>,
     next_fit: TimePoint,
+    next_report: TimePoint,
 }
 
 /// The fit of one lasting image.
@@ -142,13 +145,34 @@
     }
 }
 
-/// A pair of images with a greater weight presses: a filler on a fifth of the worker then raises
-/// the logarithm by a tenth.
-const PRESSING_WEIGHT: f64 = 0.5;
 /// Logarithm of the tail over the target of an image without samples.
 const UNSEEN_BASE: f64 = -0.8;
 
 impl PressureModel {
+    /// What has been learned of each lasting image, as text, when a report is due.
+    pub fn report(&mut self, now: TimePoint) -> Vec<String> {
+        if now < self.next_report {
+            return Vec::new();
+        }
+        self.next_report = now + REPORT_INTERVAL;
+        let mut lines = Vec::new();
+        for (name, fit) in self.names.iter().zip(&self.fits) {
+            let Some(fit) = fit else {
+                continue;
+            };
+            let mut line = format!(
+                "image={name} samples={:.0} base={:.2}",
+                fit.products[0][0], fit.weights[0]
+            );
+            for (filler, weight) in fit.fillers.iter().zip(&fit.weights[1..]) {
+                let filler = &self.names[filler.0 as usize];
+                line.push_str(&format!(" presses.{filler}={weight:.1}"));
+            }
+            lines.push(line);
+        }
+        lines
+    }
+
     /// The key of an image, made if needed.
     pub fn intern(&mut self, name: &str) -> ImageKey {
         let found = self.names.iter().position(|known| known == name);
@@ -188,23 +212,6 @@
         fit.map_or(0.0, |fit| fit.weight(filler))
     }
 
-    /// The share of filling images that press on none of these lasting images.
-    pub fn open_share(&self, lasting: &[ImageKey]) -> f64 {
-        let mut all = 0.0;
-        let mut open = 0.0;
-        for (filler, number) in self.fits.iter().zip(0u32..) {
-            if filler.is_some() {
-                continue;
-            }
-            all += 1.0;
-            let key = ImageKey(number);
-            if lasting.iter().all(|kind| self.weight(*kind, key) < PRESSING_WEIGHT) {
-                open += 1.0;
-            }
-        }
-        if all > 0.0 { open / all } else { 1.0 }
-    }
-
     /// The expected logarithm of a lasting image's tail over its target beside these images.
     pub fn expect(&self, lasting: ImageKey, loads: &[ImageLoad]) -> f64 {
         let fit = self.fits[lasting.0 as usize].as_ref();
@@ -216,10 +223,3 @@
         base + pressure
     }
 }
-
-/// TUNE
-pub static TUNE: std::sync::OnceLock<Vec<f64>> = std::sync::OnceLock::new();
-/// TUNE
-pub fn tune(i: usize, default: f64) -> f64 {
-    TUNE.get().and_then(|t| t.get(i).copied()).filter(|v| !v.is_nan() && *v > -900.0).unwrap_or(default)
-}
--- a/sapphirewalk_core/src/job_book.rs
+++ b/sapphirewalk_core/src/job_book.rs
@@ -93,8 +93,6 @@
     pub percent: u32,
     /// Share of its processor time that a filling task may use, in percent.
     pub pace: u32,
-    /// When that share changed last.
-    pub paced_at: TimePoint,
 }
 
 /// One occurrence of a job's steps.
--- a/sapphirewalk_core/src/worker_book.rs
+++ b/sapphirewalk_core/src/worker_book.rs
@@ -104,8 +104,8 @@
     pub sampled_at: TimePoint,
     /// Since when some tail there is over its target.
     pub strained_since: Option<TimePoint>,
-    /// Logarithm of the worst tail there over its target, at the last sample.
-    pub worst_tail: f64,
+    /// Mean logarithm of the tails there over their targets, at the last sample.
+    pub mean_tail: f64,
 }
 
 /// The workers, by slot and by identifier.
@@ -138,7 +138,7 @@
             gauges: Vec::new(),
             sampled_at: TimePoint::EPOCH,
             strained_since: None,
-            worst_tail: f64::MIN,
+            mean_tail: f64::MIN,
         }
     }
 
