--- a/sapphirewalk_core/src/coordinator/look.rs
+++ b/sapphirewalk_core/src/coordinator/look.rs
@@ -78,7 +78,8 @@
             } else {
                 0
             };
-            let noted = entry.noted;
+            // Another life of the worker would forget ends that it has never listed.
+            let noted = if entry.misses > 0 { 0 } else { entry.noted };
             self.effects.push(Effect::Look {
                 target,
                 deadline_ms,
@@ -150,7 +151,9 @@
         entry.next_look = now;
         let other_life = entry.born_ms != born_ms;
         if other_life && entry.born_ms != 0 {
-            self.on_reborn(worker, born_ms, now);
+            let listed = running.iter().map(|listed| listed.run);
+            let listed = listed.chain(ended.iter().map(|end| end.run)).collect();
+            self.on_reborn(worker, born_ms, listed, now);
         }
         let entry = self.workers.get_mut(worker);
         if other_life {
@@ -190,8 +193,14 @@
         self.note_ends(worker, now);
     }
 
-    /// A worker has begun another life: what ran there is gone.
-    fn on_reborn(&mut self, worker: WorkerSlot, born_ms: u64, now: TimePoint) {
+    /// A worker has begun another life: what ran there is gone, but for what the new life lists.
+    fn on_reborn(
+        &mut self,
+        worker: WorkerSlot,
+        born_ms: u64,
+        listed: Vec<RunName>,
+        now: TimePoint,
+    ) {
         let entry = self.workers.get(worker);
         let detail = format!(
             "worker={} was_born_ms={} born_ms={born_ms} tasks={}",
@@ -200,7 +209,28 @@
             entry.tasks.len()
         );
         self.log("worker_reborn", None, detail);
-        self.lose_tasks(worker, "reborn", now);
+        for slot in self.workers.get(worker).tasks.clone() {
+            if self
+                .jobs
+                .run_name(slot)
+                .is_some_and(|run| listed.contains(&run))
+            {
+                continue;
+            }
+            let Some(task) = self.jobs.task_mut(slot) else {
+                continue;
+            };
+            match task.phase {
+                // A start on its way may reach the new life, which will answer it.
+                TaskPhase::Starting | TaskPhase::Recording => {}
+                // A copy of a start may still come to the new life: bar it there first.
+                TaskPhase::Running if task.doubted => {
+                    task.unsure = true;
+                    self.order_stop(slot, "reborn");
+                }
+                _ => self.lose_run(slot, "reborn", now),
+            }
+        }
         self.workers.get_mut(worker).inherited_until = TimePoint::EPOCH;
     }
 
@@ -514,6 +544,7 @@
             }
             OrderAnswer::Missing => {
                 task.unsure = true;
+                task.doubted = true;
                 self.shun(worker, MISSING_SHUN, "start_missing", now);
                 self.resend(worker, run, ResendKind::Start, now);
                 return;
@@ -647,10 +678,15 @@
             return;
         };
         let span = LEASE_SPAN.min(self.limits.longest_lease);
-        let entry = self.workers.get_mut(worker);
-        let deadline_ms = entry
+        let entry = self.workers.get(worker);
+        let fresh = entry
             .clock_at(now)
             .map_or(0, |clock| clock + span.as_millis());
+        // A start that is sent again keeps its deadline, so that the wait for a worker that has
+        // gone silent comes to an end.
+        let first = self.jobs.task(slot).map_or(0, |task| task.deadline_ms);
+        let deadline_ms = if first > 0 { first } else { fresh };
+        let entry = self.workers.get_mut(worker);
         entry.granted_ms = entry.granted_ms.max(deadline_ms);
         let target = self.target(worker);
         let Some(job) = self.jobs.get(slot.job) else {
@@ -662,6 +698,7 @@
         };
         task.phase = TaskPhase::Starting;
         task.since = now;
+        task.deadline_ms = deadline_ms;
         let checkpoint = task.checkpoint.clone();
         self.effects.push(Effect::Start {
             target,
--- a/sapphirewalk_core/src/coordinator/place.rs
+++ b/sapphirewalk_core/src/coordinator/place.rs
@@ -188,6 +188,8 @@
         task.since = now;
         task.confirmed_ms = 0;
         task.unsure = false;
+        task.doubted = false;
+        task.deadline_ms = 0;
         task.stopping = false;
         task.pace = worker_book::FULL_PACE;
         self.mark_dirty(slot.job);
--- a/sapphirewalk_core/src/job_book.rs
+++ b/sapphirewalk_core/src/job_book.rs
@@ -87,6 +87,10 @@
     pub avoid: Option<WorkerSlot>,
     /// A start was sent without an answer: a worker may carry it out yet.
     pub unsure: bool,
+    /// The deadline of the present run's start on its worker's clock; 0 before it was sent.
+    pub deadline_ms: u64,
+    /// Some start of the present run had no answer: a copy may come late, even to another life.
+    pub doubted: bool,
     /// A stop has been ordered.
     pub stopping: bool,
     /// Progress in percent, as the worker last said.
--- /dev/null
+++ b/sapphirewalk_core/tests/coordinator/load.rs
@@ -0,0 +1,85 @@
+//! Heavy load: bursts of bulk work beside urgent and lasting tasks.
+
+use sapphirewalk_core::job_book::JobState;
+use sapphirewalk_core::job_spec::JobId;
+use sapphirewalk_core::time::TimeSpan;
+
+use crate::world;
+use crate::world::FaultPlan;
+use crate::world::World;
+
+#[test]
+fn urgent_jobs_keep_their_objective_in_a_burst_of_bulk_work() {
+    let mut world = World::new(1, 12, FaultPlan::default());
+    // Four times what the workers can take, for 4 s.
+    for id in 0..64 {
+        let at = 2_000 + id * 60;
+        world.submit(at, id, "bulk", vec![world::step(16, 3_000, 1_500, &[])]);
+    }
+    for id in 0..40 {
+        let at = 2_000 + id * 100;
+        let steps = vec![
+            world::step(4, 1_000, 400, &[]),
+            world::step(2, 1_000, 300, &[0]),
+        ];
+        world.submit(at, 1_000 + id, "urgent", steps);
+    }
+    world.run_until(60_000);
+    let in_time = (0..40)
+        .filter(|id| {
+            let took = world.completed.get(&JobId(1_000 + id));
+            took.is_some_and(|took| *took <= 2 * 700 + 1_000)
+        })
+        .count();
+    assert_eq!(world.breaches, Vec::<String>::new());
+    assert!(in_time >= 38, "{in_time} of 40 urgent jobs in time");
+    assert_eq!(world.completed.len(), 104);
+}
+
+/// Lasting tasks on all workers, then filling work of which one image presses on one of theirs.
+fn harm_world(seed: u64) -> World {
+    let mut world = World::new(seed, 16, FaultPlan::default());
+    world.pressing = vec![("f0".to_owned(), "s0".to_owned())];
+    for id in 0..16 {
+        let mut step = world::step(4, 3_000, 1_000, &[]);
+        step.lasting = true;
+        step.image = format!("s{}", id % 2);
+        step.tail_target = TimeSpan::from_millis(18);
+        world.submit(500 + id * 20, id, "lasting", vec![step]);
+    }
+    for id in 0..60 {
+        let mut step = world::step(8, 1_500, 1_500, &[]);
+        step.filler = true;
+        step.image = format!("f{}", id % 2);
+        world.submit(3_000 + id * 200, 100 + id, "bulk", vec![step]);
+    }
+    world
+}
+
+#[test]
+fn filling_tasks_leave_lasting_ones_their_tails_and_get_done() {
+    for seed in 0..5 {
+        let mut world = harm_world(seed);
+        world.run_until(40_000);
+        assert_eq!(world.breaches, Vec::<String>::new());
+        // 16 workers for 12 s of filling; a tenth of it may pass while the pairs are learned.
+        assert!(
+            world.strained_ms < 19_200,
+            "seed {seed}: {}",
+            world.strained_ms
+        );
+        let in_time = (100..160)
+            .filter(|id| {
+                world
+                    .completed
+                    .get(&JobId(*id))
+                    .is_some_and(|took| *took <= 4_000)
+            })
+            .count();
+        assert!(in_time >= 54, "seed {seed}: {in_time} of 60 in time");
+        for id in 0..16 {
+            assert_eq!(world.shown(id), Some(JobState::Running));
+            assert_eq!(world.running(id), 4);
+        }
+    }
+}
