--- /dev/null
+++ b/sapphirewalk/tests/entry/main.rs
@@ -0,0 +1,6 @@
+//! Entry VMs as real processes against stand-ins of the platform.
+
+mod fleet;
+mod jobs;
+mod office;
+mod store;
--- /dev/null
+++ b/sapphirewalk/tests/entry/office.rs
@@ -0,0 +1,58 @@
+//! The coordinator is killed, stopped, or all processes are.
+
+use crate::fleet::EntryFleet;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn another_entry_vm_takes_over_when_the_one_in_office_is_killed() {
+    let mut fleet = EntryFleet::start("killed", 3).await;
+    for id in 0..6 {
+        let number = usize::try_from(id).unwrap_or(0) % 3;
+        assert_eq!(fleet.submit(number, 100 + id, 1_200, &[2, 2]).await, 200);
+    }
+    fleet
+        .until("jobs run", async |fleet| fleet.running(105) == 2)
+        .await;
+    let first = fleet.in_office().expect("one is in office");
+    fleet.entries[first].kill();
+    let other = (first + 1) % 3;
+    for id in 0..6 {
+        fleet.until_state(other, 100 + id, "completed").await;
+        assert_eq!(fleet.starts(100 + id), 4, "job {id}");
+    }
+    fleet.assert_no_doubles();
+    assert_ne!(fleet.in_office(), Some(first));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stopped_coordinator_hands_over_and_loses_no_answer() {
+    let mut fleet = EntryFleet::start("stopped", 2).await;
+    assert_eq!(fleet.submit(0, 200, 1_500, &[3, 2]).await, 200);
+    fleet
+        .until("the job runs", async |fleet| fleet.running(200) == 3)
+        .await;
+    let first = fleet.in_office().expect("one is in office");
+    let status = fleet.entries[first].terminate();
+    assert!(status.success());
+    assert!(fleet.entries[first].log().contains("event=process_stopped"));
+    fleet.until_state(1 - first, 200, "completed").await;
+    assert_eq!(fleet.starts(200), 5);
+    fleet.assert_no_doubles();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn accepted_jobs_outlive_all_processes() {
+    let mut fleet = EntryFleet::start("all", 2).await;
+    assert_eq!(fleet.submit(0, 300, 1_000, &[2, 2]).await, 200);
+    assert_eq!(fleet.submit(1, 301, 300, &[1]).await, 200);
+    for entry in &mut fleet.entries {
+        entry.kill();
+    }
+    for entry in &mut fleet.entries {
+        entry.restart();
+    }
+    for id in [300, 301] {
+        fleet.until_state(0, id, "completed").await;
+        fleet.until_state(1, id, "completed").await;
+    }
+    fleet.assert_no_doubles();
+}
--- /dev/null
+++ b/sapphirewalk/tests/entry/store.rs
@@ -0,0 +1,103 @@
+//! The store refuses, loses answers, forgets its history.
+
+use hyper::Method;
+
+use crate::fleet;
+use crate::fleet::EntryFleet;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn jobs_are_refused_with_a_time_to_come_back_while_the_store_refuses() {
+    let fleet = EntryFleet::start("refusing", 1).await;
+    fleet.store.refuse(true);
+    let job = fleet::job(100, &[1]).to_string();
+    let path = "/bulk/0000000000000190";
+    let (status, _, after) = fleet.call(0, Method::POST, path, job.clone()).await;
+    assert_eq!(status, 503);
+    assert_eq!(after.as_deref(), Some("1"));
+    fleet
+        .until("the entry VM sends callers elsewhere", async |fleet| {
+            !fleet.is_ready(0).await
+        })
+        .await;
+    fleet.store.refuse(false);
+    fleet
+        .until("the entry VM is ready again", async |fleet| {
+            fleet.is_ready(0).await
+        })
+        .await;
+    // What was refused has not run and is not known.
+    assert_eq!(fleet.starts(400), 0);
+    let (status, ..) = fleet.call(0, Method::GET, path, String::new()).await;
+    assert_eq!(status, 410);
+    let (status, ..) = fleet.call(0, Method::POST, path, job).await;
+    assert_eq!(status, 200);
+    fleet.until_state(0, 400, "completed").await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn runs_go_on_through_an_outage_of_the_store() {
+    let fleet = EntryFleet::start("outage", 2).await;
+    assert_eq!(fleet.submit(0, 401, 2_500, &[3, 1]).await, 200);
+    fleet
+        .until("the job runs", async |fleet| fleet.running(401) == 3)
+        .await;
+    fleet.store.refuse(true);
+    tokio::time::sleep(std::time::Duration::from_millis(2_000)).await;
+    fleet.store.refuse(false);
+    fleet.until_state(1, 401, "completed").await;
+    assert_eq!(fleet.starts(401), 4);
+    fleet.assert_no_doubles();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn changes_whose_answer_is_lost_count_once() {
+    let fleet = EntryFleet::start("lost", 2).await;
+    for id in 0..5 {
+        fleet.store.lose_answers(2);
+        let status = fleet.submit(0, 410 + id, 100, &[2, 1]).await;
+        assert!(status == 200 || status == 504, "{status}");
+    }
+    fleet.store.lose_answers(0);
+    for id in 0..5 {
+        fleet.until_state(1, 410 + id, "completed").await;
+        assert_eq!(fleet.starts(410 + id), 3, "job {id}");
+    }
+    fleet.assert_no_doubles();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn rules_and_jobs_are_read_again_when_the_history_is_gone() {
+    let fleet = EntryFleet::start("history", 2).await;
+    fleet
+        .store
+        .put_rules(2, &[("bulk", 2), ("late", 1), ("urgent", 0)]);
+    fleet.store.forget_history();
+    for number in 0..2 {
+        fleet
+            .until("the new queue is served", async |fleet| {
+                let (status, ..) = fleet
+                    .call(number, Method::GET, "/late/", String::new())
+                    .await;
+                status == 200
+            })
+            .await;
+    }
+    fleet.store.put_rules(3, &[("bulk", 2)]);
+    for number in 0..2 {
+        fleet
+            .until("the dropped queue is gone", async |fleet| {
+                let (status, ..) = fleet
+                    .call(number, Method::GET, "/late/", String::new())
+                    .await;
+                status == 404
+            })
+            .await;
+    }
+    // An older version does not come back.
+    fleet.store.put_rules(2, &[("bulk", 2), ("late", 1)]);
+    tokio::time::sleep(std::time::Duration::from_millis(300)).await;
+    let (status, ..) = fleet.call(0, Method::GET, "/late/", String::new()).await;
+    assert_eq!(status, 404);
+    assert_eq!(fleet.submit(0, 420, 50, &[1]).await, 200);
+    fleet.until_state(0, 420, "completed").await;
+}
--- a/sapphirewalk_core/src/coordinator/look.rs
+++ b/sapphirewalk_core/src/coordinator/look.rs
@@ -152,8 +152,8 @@
         let other_life = entry.born_ms != born_ms;
         if other_life && entry.born_ms != 0 {
             let listed = running.iter().map(|listed| listed.run);
-            let listed = listed.chain(ended.iter().map(|end| end.run)).collect();
-            self.on_reborn(worker, born_ms, listed, now);
+            let listed: Vec<RunName> = listed.chain(ended.iter().map(|end| end.run)).collect();
+            self.on_reborn(worker, born_ms, &listed, now);
         }
         let entry = self.workers.get_mut(worker);
         if other_life {
@@ -194,13 +194,7 @@
     }
 
     /// A worker has begun another life: what ran there is gone, but for what the new life lists.
-    fn on_reborn(
-        &mut self,
-        worker: WorkerSlot,
-        born_ms: u64,
-        listed: Vec<RunName>,
-        now: TimePoint,
-    ) {
+    fn on_reborn(&mut self, worker: WorkerSlot, born_ms: u64, listed: &[RunName], now: TimePoint) {
         let entry = self.workers.get(worker);
         let detail = format!(
             "worker={} was_born_ms={} born_ms={born_ms} tasks={}",
