--- a/sapphirewalk/src/entry/callers.rs
+++ b/sapphirewalk/src/entry/callers.rs
@@ -35,13 +35,13 @@
 use crate::entry::records;
 
 /// Time for one write of a job: the store takes 5 ms, up to 60 times as long on bad days.
-const WRITE_TIMEOUT: time::Duration = time::Duration::from_millis(900);
+const WRITE_TIMEOUT: time::Duration = time::Duration::from_millis(650);
 /// Time for reading one row.
 const READ_TIMEOUT: time::Duration = time::Duration::from_millis(500);
 /// A store that refuses is tried again for this long; a caller can try elsewhere after that.
-const REFUSAL_PATIENCE: TimeSpan = TimeSpan::from_millis(250);
+const REFUSAL_PATIENCE: TimeSpan = TimeSpan::from_millis(50);
 /// Time before a refused write is tried again.
-const REFUSAL_DELAY: time::Duration = time::Duration::from_millis(60);
+const REFUSAL_DELAY: time::Duration = time::Duration::from_millis(30);
 /// Callers may come back after this span where the store is out of reach: another VM may reach it,
 /// and most outages of parts are over in seconds.
 const UNAVAILABLE_AFTER: TimeSpan = TimeSpan::from_millis(1_000);
@@ -181,6 +181,9 @@
         spec,
         accepted_at: began,
     };
+    if !node.store_answers() {
+        return unavailable(node, Some(id), "store_lost");
+    }
     let change = records::accept_change(&record);
     let mut unsure = false;
     loop {
