Place small bulk jobs first; end a strain only well below the target

Cause 1: where filling room is short, jobs by latest start all finish a little late. The strain now ends at 0.88 of the target; fillers that press are paced after 0.9 s, leave after 1.8 s, all leave after 2.6 s.

--- a/sapphirewalk_core/src/coordinator/pace.rs
+++ b/sapphirewalk_core/src/coordinator/pace.rs
@@ -25,9 +25,18 @@
 const SAMPLE_INTERVAL: TimeSpan = TimeSpan::from_millis(450);
 /// A tail over its target without a known cause makes some filling task leave after this long, a
 /// quarter of the time for which harm is tolerated at the least.
-const UNEXPLAINED_SPAN: TimeSpan = TimeSpan::from_millis(900);
-/// A tail over its target makes every filling task leave after this long.
-const CLEARING_SPAN: TimeSpan = TimeSpan::from_millis(2_000);
+const UNEXPLAINED_SPAN: TimeSpan = TimeSpan::from_millis(1_400);
+/// Filling tasks that press are paced down at once where a tail is far over its target; where it
+/// is a little over, after this long, since loads swing by themselves.
+const PATIENT_SPAN: TimeSpan = TimeSpan::from_millis(900);
+/// A tail over its target makes every filling task that presses leave after this long,
+const CLEARING_SPAN: TimeSpan = TimeSpan::from_millis(1_800);
+/// and every filling task after this long: harm is tolerated for 4 s, and a stop takes up to 0.9.
+const EMPTYING_SPAN: TimeSpan = TimeSpan::from_millis(2_600);
+/// Logarithm of a tail over its target at which a strain begins: 0.97 of it.
+const STRAIN_BEGINS: f64 = -0.03;
+/// Logarithm below which a strain is over: 0.88 of the target.
+const STRAIN_ENDS: f64 = -0.13;
 /// Logarithm of a tail over its target above which filling tasks are paced down: 1.2 times the
 /// target. Pacing at less holds tasks, and their memory, on workers where they hardly get on.
 const PACE_ABOVE: f64 = 0.2;
@@ -86,20 +95,28 @@
         let tails = self.learn_tails(&gauges, &loads, now);
         let worst = worst_tail(&tails);
         let entry = self.workers.get_mut(worker);
-        entry.strained_since = if worst > 0.0 {
-            Some(entry.strained_since.unwrap_or(now))
-        } else {
-            None
+        entry.strained_since = match entry.strained_since {
+            // Figures are rough: a strain is over only well below the target.
+            Some(since) if worst > STRAIN_ENDS => Some(since),
+            None if worst > STRAIN_BEGINS => Some(now),
+            _ => None,
         };
         entry.mean_tail = mean_tail(&tails);
         let strained_for = entry
             .strained_since
             .map_or(TimeSpan::ZERO, |since| now.since(since));
-        let paces = self.filler_paces(&gauges, capacity, &tails);
+        let above = if strained_for >= PATIENT_SPAN {
+            STRAIN_ENDS
+        } else {
+            PACE_ABOVE
+        };
+        let paces = self.filler_paces(&gauges, capacity, &tails, above);
         let lowered = paces.iter().any(|pace| pace.percent < pace.before);
         let mut unexplained = strained_for >= UNEXPLAINED_SPAN && !lowered;
         for pace in paces {
-            if strained_for >= CLEARING_SPAN || unexplained {
+            let presses = pace.pressure > HARMLESS_PRESSURE / 2.0;
+            let clearing = strained_for >= CLEARING_SPAN && presses;
+            if clearing || strained_for >= EMPTYING_SPAN || unexplained {
                 unexplained = false;
                 self.expel(worker, &pace, worst, strained_for);
             } else if pace.percent != pace.before {
@@ -141,6 +158,7 @@
         gauges: &[TaskGauge],
         capacity: f64,
         tails: &[MeasuredTail],
+        above: f64,
     ) -> Vec<FillerPace> {
         let mut paces = Vec::new();
         for gauge in gauges {
@@ -178,8 +196,8 @@
                 .map(|pace| self.pressure.weight(tail.image, pace.image) * pace.share)
                 .collect();
             let total: f64 = weights.iter().sum();
-            let excess = tail.log_ratio - PACE_AIM;
-            if tail.log_ratio <= PACE_ABOVE || total < HARMLESS_PRESSURE {
+            let excess = tail.log_ratio - PACE_AIM.min(above);
+            if tail.log_ratio <= above || total < HARMLESS_PRESSURE {
                 continue;
             }
             let factor = (1.0 - excess / total).clamp(0.0, 1.0);
--- a/sapphirewalk_core/src/job_order.rs
+++ b/sapphirewalk_core/src/job_order.rs
@@ -32,6 +32,9 @@
     pub priority: u32,
     /// Lasting work comes after work that ends.
     pub lasting: bool,
+    /// Size class of the work that the occurrence still takes: each is twice the one below.
+    /// Where there is too little room, more jobs get done in time if small ones go first.
+    pub size_class: u32,
     /// When the step must start at the latest.
     pub start_by: TimePoint,
 }
@@ -65,6 +68,21 @@
         outlook,
         priority: rule.priority,
         lasting,
+        size_class: work_left(job, occurrence).max(1).ilog2(),
         start_by,
     }
 }
+
+/// Processor time that an occurrence still takes, in core-ms, by its caller's estimates.
+fn work_left(job: &JobEntry, occurrence: &OccurrenceEntry) -> u64 {
+    let steps = job.spec.steps.iter().zip(&occurrence.left);
+    steps
+        .map(|(step, left)| {
+            let task = step.demand.cpu_millis * step.estimate.as_millis() / MILLIS;
+            task * u64::from(*left)
+        })
+        .sum()
+}
+
+/// Thousandths of a core in a core.
+const MILLIS: u64 = 1_000;
