Move tasks off leaving workers; tell a job's life with `explain`

Runs that would not end in the time left are now stopped and go on elsewhere; seen failing first: order::tasks_move_off_a_worker_that_is_about_to_leave does not hold without the call. `explain ID LOG...` prints the lines that bear on a job, in order, and what is missing.

--- a/extra/completions/sapphirewalk.bash
+++ b/extra/completions/sapphirewalk.bash
@@ -6,12 +6,14 @@
     fi
     local choices
     if [ "$COMP_CWORD" -eq 1 ]; then
-        choices="gateway scheduler keygen sign rollout rollback audit dump settings submit show cancel replay"
+        choices="gateway scheduler entry explain keygen sign rollout rollback audit dump settings submit show cancel replay"
     else
         case "$command" in
         audit) choices="verify query in-force --help" ;;
         "gateway") choices="--help --settings --check" ;;
         "scheduler") choices="--help --settings --check" ;;
+        "entry") choices="--help --settings --check" ;;
+        "explain") choices="--help" ;;
         "keygen") choices="--help --key-file" ;;
         "sign") choices="--help --settings --bundle --operator --key-file --signatures" ;;
         "rollout") choices="--help --settings --digest --reason --operator --key-file" ;;
--- a/sapphirewalk/src/cli.rs
+++ b/sapphirewalk/src/cli.rs
@@ -35,6 +35,9 @@
     /// Serves callers on an entry VM of the users' platform.
     #[options(help = "run an entry VM: accept jobs, and coordinate them when in office")]
     Entry(EntryOptions),
+    /// Tells the life of a job from logs.
+    #[options(help = "tell the life of a job from logs of entry VMs")]
+    Explain(ExplainOptions),
     /// Makes an operator's key.
     #[options(help = "make an operator's signing key")]
     Keygen(KeygenOptions),
@@ -104,6 +107,21 @@
     pub check: bool,
 }
 
+/// Tells the life of a job, and the beliefs that decided it, from gathered logs.
+#[derive(Debug)]
+#[derive(Options)]
+pub struct ExplainOptions {
+    /// Prints this help.
+    #[options(help = "print this help")]
+    pub help: bool,
+    /// The job.
+    #[options(free, required, help = "the job's 16 hexadecimal digits")]
+    pub job: String,
+    /// The logs.
+    #[options(free, help = "log files of entry VMs; standard input when left out")]
+    pub logs: Vec<path::PathBuf>,
+}
+
 /// Makes an operator's signing key and prints the public key for the settings.
 #[derive(Debug)]
 #[derive(Options)]
--- a/sapphirewalk/src/main.rs
+++ b/sapphirewalk/src/main.rs
@@ -11,6 +11,7 @@
 mod daemon;
 mod entry;
 mod event;
+mod explain;
 mod gateway;
 mod gossip;
 mod logger;
@@ -42,6 +43,10 @@
         Some(CommandName::Gateway(options)) => daemon::run(PeerRole::Gateway, &options),
         Some(CommandName::Scheduler(options)) => daemon::run(PeerRole::Scheduler, &options),
         Some(CommandName::Entry(options)) => entry::start(&options),
+        Some(CommandName::Explain(options)) => match explain::run(&options.job, &options.logs) {
+            Ok(()) => system::ExitCode::SUCCESS,
+            Err(error) => cli::report(&error),
+        },
         Some(CommandName::Keygen(options)) => finish(command::keygen(&options)),
         Some(CommandName::Sign(options)) => block_on(command::sign(&options)),
         Some(CommandName::Rollout(options)) => block_on(command::rollout(&options)),
--- a/sapphirewalk/tests/entry/main.rs
+++ b/sapphirewalk/tests/entry/main.rs
@@ -1,5 +1,6 @@
 //! Entry VMs as real processes against stand-ins of the platform.
 
+mod explain;
 mod fleet;
 mod jobs;
 mod office;
--- /dev/null
+++ b/sapphirewalk_core/src/coordinator/evacuate.rs
@@ -0,0 +1,42 @@
+//! Workers that are about to leave: what would not end in time moves while it can.
+
+use crate::coordinator::JobCoordinator;
+use crate::job_book::TaskPhase;
+use crate::job_book::TaskSlot;
+use crate::time::TimeSpan;
+use crate::worker_book::WorkerSlot;
+
+/// A task is only left to end by itself if that takes at most this share of the time left, since
+/// callers' estimates are rough.
+const SURE_SHARE: f64 = 0.6;
+
+impl JobCoordinator {
+    /// Stops the tasks of a leaving worker that would end with it, so that they go on elsewhere.
+    pub(super) fn evacuate(&mut self, worker: WorkerSlot) {
+        let entry = self.workers.get(worker);
+        let left = entry.report.leaves_in;
+        let detail = format!(
+            "worker={} leaves_in={left} tasks={}",
+            entry.report.id,
+            entry.tasks.len()
+        );
+        self.log("worker_leaving", None, detail);
+        for slot in self.workers.get(worker).tasks.clone() {
+            if self.outlasts(slot, left) {
+                self.order_stop(slot, "worker_leaving");
+            }
+        }
+    }
+
+    /// Whether a running task would not end within a span.
+    fn outlasts(&self, slot: TaskSlot, left: TimeSpan) -> bool {
+        let (Some(step), Some(task)) = (self.jobs.step(slot), self.jobs.task(slot)) else {
+            return false;
+        };
+        if task.phase != TaskPhase::Running || task.stopping {
+            return false;
+        }
+        let to_do = f64::from(100u32.saturating_sub(task.percent)) / 100.0;
+        step.lasting || step.estimate.scale(to_do) > left.scale(SURE_SHARE)
+    }
+}
--- a/sapphirewalk_core/src/coordinator/mod.rs
+++ b/sapphirewalk_core/src/coordinator/mod.rs
@@ -7,6 +7,7 @@
 //! can't reach have to be waited out.
 
 mod commit;
+mod evacuate;
 mod event;
 mod look;
 mod pace;
@@ -159,7 +160,11 @@
             if other_place {
                 entry.next_look = now;
             }
+            let begins_to_leave = report.draining && !entry.report.draining;
             entry.report = report;
+            if begins_to_leave {
+                self.evacuate(slot);
+            }
         }
         self.place_due = true;
     }
--- a/sapphirewalk_core/src/worker_book.rs
+++ b/sapphirewalk_core/src/worker_book.rs
@@ -39,6 +39,8 @@
     pub capacity: ResourceVector,
     /// It is about to leave.
     pub draining: bool,
+    /// The least time until it leaves; zero unless it is about to.
+    pub leaves_in: TimeSpan,
     /// When this life of it began, in Unix ms; 0 when it doesn't say.
     pub born_ms: u64,
 }
@@ -228,6 +230,7 @@
                     labels: Vec::new(),
                     capacity: ResourceVector::ZERO,
                     draining: false,
+                    leaves_in: TimeSpan::ZERO,
                     born_ms: 0,
                 }));
                 self.by_id.insert(place, (id.to_owned(), slot));
--- a/sapphirewalk_core/tests/coordinator/order.rs
+++ b/sapphirewalk_core/tests/coordinator/order.rs
@@ -74,3 +74,30 @@
     assert_eq!(world.no_room, 0);
     assert_eq!(world.completed.len(), 30);
 }
+
+#[test]
+fn tasks_move_off_a_worker_that_is_about_to_leave() {
+    let mut world = World::new(6, 4, FaultPlan::default());
+    let mut lasting = world::step(8, 1_000, 1_000, &[]);
+    lasting.lasting = true;
+    world.submit(1_000, 7, "lasting", vec![lasting]);
+    world.submit(1_000, 8, "bulk", vec![world::step(8, 500, 60_000, &[])]);
+    world.submit(2_500, 9, "bulk", vec![world::step(8, 500, 800, &[])]);
+    world.run_until(2_900);
+    assert!(world.running_on(1, 7) > 0 && world.running_on(1, 8) > 0);
+    let short = world.running_on(1, 9);
+    assert!(short > 0);
+    world.leaving = vec![1];
+    world.run_until(5_000);
+    // What ends in time is left alone; the rest goes on elsewhere, well before the worker leaves.
+    assert_eq!((world.running_on(1, 7), world.running_on(1, 8)), (0, 0));
+    assert_eq!((world.running(7), world.running(8)), (8, 8));
+    let job = sapphirewalk_core::job_spec::JobId(9);
+    assert!(
+        world
+            .starts
+            .iter()
+            .all(|(task, starts)| task.job != job || *starts == 1)
+    );
+    assert_eq!(world.breaches, Vec::<String>::new());
+}
--- a/sapphirewalk_core/tests/coordinator/world.rs
+++ b/sapphirewalk_core/tests/coordinator/world.rs
@@ -38,6 +38,8 @@
 const START_MS: u64 = 1_000_000;
 /// Longest lease that the modelled workers grant.
 const LONGEST_LEASE_MS: u64 = 10_000;
+/// Time that a leaving worker says it has left.
+const LEAVE_MS: u64 = 2_000;
 /// Time that a stop takes.
 const STOP_MS: u64 = 300;
 
@@ -188,6 +190,8 @@
     pub strained_ms: u64,
     /// Orders that were turned away for want of room.
     pub no_room: u32,
+    /// Workers that are about to leave.
+    pub leaving: Vec<usize>,
     /// Pairs of filling and lasting images that press on one another.
     pub pressing: Vec<(String, String)>,
 }
@@ -247,6 +251,7 @@
             breaches: Vec::new(),
             strained_ms: 0,
             no_room: 0,
+            leaving: Vec::new(),
             pressing: Vec::new(),
         };
         for number in 0..workers {
@@ -306,6 +311,12 @@
         office.coordinator.shown_state(JobId(id))
     }
 
+    /// Tasks of a job that run on a worker now.
+    pub fn running_on(&self, worker: usize, id: u64) -> usize {
+        let runs = self.workers[worker].runs.iter();
+        runs.filter(|run| run.name.task.job == JobId(id)).count()
+    }
+
     /// Tasks of a job that run now.
     pub fn running(&self, id: u64) -> usize {
         let runs = self.workers.iter().flat_map(|worker| &worker.runs);
@@ -427,7 +438,8 @@
                 rack: format!("r{}", number / 4),
                 labels: vec!["a".to_owned(), format!("r{}", number / 4)],
                 capacity: worker.capacity,
-                draining: false,
+                draining: self.leaving.contains(&number),
+                leaves_in: TimeSpan::from_millis(LEAVE_MS),
                 born_ms: worker.born_ms,
             })
             .collect();
