--- a/sapphirewalk_core/src/coordinator/look.rs
+++ b/sapphirewalk_core/src/coordinator/look.rs
@@ -18,8 +18,9 @@
 use crate::worker_book::WorkerSlot;
 
 /// How far ahead of the present a worker's runs may go on: long enough for a successor to take
-/// office and look at the worker, short enough that runs on a lost worker are soon repeated.
-pub const LEASE_SPAN: TimeSpan = TimeSpan::from_millis(5_000);
+/// office and look at the worker, and for cuts of a failure domain, which last 5 to 6.5 s; short
+/// enough that runs on a lost worker are repeated before callers give up.
+pub const LEASE_SPAN: TimeSpan = TimeSpan::from_millis(8_000);
 /// How long a worker may wait for an end before it answers a look.
 const LOOK_WAIT: TimeSpan = TimeSpan::from_millis(1_000);
 /// Time before a worker that did not answer is looked at again.
