Keep urgent work off workers that hang or crawl; number lives in fencing tokens

Cause 1: workers that hang answer looks and took new tasks for as long as they had room; their tasks waited for the end of the trouble. Progress is now reviewed with each look: a worker on which a task stands still for 1.4 s, or an urgent one crawls, gets nothing new for 2 s; tasks that would be done sooner elsewhere are stopped and begun again. Besides, tokens rise with each life seen.

--- a/sapphirewalk_core/src/coordinator/look.rs
+++ b/sapphirewalk_core/src/coordinator/look.rs
@@ -191,6 +191,7 @@
         }
         self.compare_runs(worker, clock_ms, running, now);
         self.pace_worker(worker, now);
+        self.review_progress(worker, now);
         self.note_ends(worker, now);
     }
 
@@ -226,7 +227,9 @@
                 _ => self.lose_run(slot, "reborn", now),
             }
         }
-        self.workers.get_mut(worker).inherited_until = TimePoint::EPOCH;
+        let entry = self.workers.get_mut(worker);
+        entry.inherited_until = TimePoint::EPOCH;
+        entry.lives += 1;
     }
 
     /// Lets every task of a worker wait for another run.
@@ -456,6 +459,9 @@
                 task.phase = TaskPhase::Running;
                 task.since = now;
             }
+            if begun || task.percent != listed.percent {
+                task.moved_at = now;
+            }
             task.unsure = false;
             task.confirmed_ms = task.confirmed_ms.max(clock_ms);
             task.percent = listed.percent;
@@ -524,6 +530,8 @@
             OrderAnswer::Accepted { clock_ms } => {
                 task.phase = TaskPhase::Running;
                 task.since = now;
+                task.moved_at = now;
+                task.percent = 0;
                 task.unsure = false;
                 task.confirmed_ms = clock_ms;
                 if over {
@@ -704,7 +712,13 @@
         });
     }
 
-    fn shun(&mut self, worker: WorkerSlot, span: TimeSpan, cause: &'static str, now: TimePoint) {
+    pub(super) fn shun(
+        &mut self,
+        worker: WorkerSlot,
+        span: TimeSpan,
+        cause: &'static str,
+        now: TimePoint,
+    ) {
         let entry = self.workers.get_mut(worker);
         entry.shunned_until = entry.shunned_until.max(now + span);
         let detail = format!("worker={} cause={cause} for={span}", entry.report.id);
--- a/sapphirewalk_core/src/coordinator/mod.rs
+++ b/sapphirewalk_core/src/coordinator/mod.rs
@@ -13,6 +13,7 @@
 mod pace;
 mod place;
 mod recover;
+mod stall;
 
 pub use event::CommitBatch;
 pub use event::Decision;
@@ -364,7 +365,7 @@
             worker,
             id: entry.report.id.clone(),
             address: entry.report.address,
-            fence: self.fence,
+            fence: (self.fence << LIFE_BITS) + entry.lives,
         }
     }
 
@@ -451,6 +452,9 @@
     }
 }
 
+/// Bits of a fencing token that count the lives of a worker: orders meant for an earlier life are
+/// refused by the next one.
+const LIFE_BITS: u32 = 16;
 /// Attempts of a task whose queue was dropped: the brief's sites allow 2 to 4.
 const FALLBACK_ATTEMPTS: u32 = 3;
 /// Slowdown factor of a job whose queue was dropped, as the sites' bulk queues have.
--- a/sapphirewalk_core/src/job_book.rs
+++ b/sapphirewalk_core/src/job_book.rs
@@ -95,6 +95,8 @@
     pub stopping: bool,
     /// Progress in percent, as the worker last said.
     pub percent: u32,
+    /// When its progress last changed.
+    pub moved_at: TimePoint,
     /// Share of its processor time that a filling task may use, in percent.
     pub pace: u32,
 }
--- a/sapphirewalk_core/src/worker_book.rs
+++ b/sapphirewalk_core/src/worker_book.rs
@@ -72,6 +72,8 @@
     pub listed: bool,
     /// The life that answered last, in Unix ms; 0 before the first answer.
     pub born_ms: u64,
+    /// Lives that were seen to end.
+    pub lives: u64,
     /// It has answered a look under the present fencing token.
     pub adopted: bool,
     /// The last reading of its clock.
@@ -123,6 +125,7 @@
             report,
             listed: false,
             born_ms: 0,
+            lives: 0,
             adopted: false,
             clock: None,
             granted_ms: 0,
--- a/sapphirewalk_core/tests/coordinator/faults.rs
+++ b/sapphirewalk_core/tests/coordinator/faults.rs
@@ -106,6 +106,7 @@
             cuts: vec![(1, 4_800, 9_000), (2, 9_900, 16_000)],
             crashes: vec![(5, 7_000, 9_500)],
             outages: vec![(7_000, 11_500)],
+            slow: vec![(6, 5_000, 12_000, 0.0), (7, 8_000, 14_000, 0.2)],
             failing_runs: 0.02,
         };
         assert_kept(seed, &play(seed, plan));
--- a/sapphirewalk_core/tests/coordinator/load.rs
+++ b/sapphirewalk_core/tests/coordinator/load.rs
@@ -110,3 +110,41 @@
         "strained for {handed_on} ms with what was learned, {begun_anew} ms without"
     );
 }
+
+/// Urgent jobs while two of eight workers hang and one is slow; how many end within a time.
+fn urgent_beside_hanging(slow: Vec<(usize, u64, u64, f64)>) -> usize {
+    let plan = FaultPlan {
+        slow,
+        ..FaultPlan::default()
+    };
+    let mut world = World::new(3, 8, plan);
+    for id in 0..60 {
+        world.submit(
+            2_000 + id * 100,
+            id,
+            "urgent",
+            vec![world::step(4, 1_000, 500, &[])],
+        );
+    }
+    world.run_until(30_000);
+    assert_eq!(world.breaches, Vec::<String>::new());
+    assert_eq!(world.completed.len(), 60);
+    world
+        .completed
+        .values()
+        .filter(|took| **took <= 2_000)
+        .count()
+}
+
+#[test]
+fn urgent_jobs_keep_away_from_workers_that_hang_or_crawl() {
+    let slow = vec![
+        (1, 2_500, 8_500, 0.0),
+        (2, 2_500, 8_500, 0.0),
+        (5, 2_500, 8_500, 0.15),
+    ];
+    let in_time = urgent_beside_hanging(slow);
+    // Jobs are caught until the first look that shows it; without the review 45 are in time.
+    assert!(in_time >= 50, "{in_time} of 60 in time");
+    assert_eq!(urgent_beside_hanging(Vec::new()), 60);
+}
