--- a/sapphirewalk/src/entry/gauge.rs
+++ b/sapphirewalk/src/entry/gauge.rs
@@ -46,8 +46,6 @@
     counts {
         /// Jobs accepted here.
         jobs_accepted,
-        /// Jobs refused here for want of room.
-        jobs_overloaded,
         /// Requests refused here because something was out of reach.
         requests_unavailable,
         /// Requests whose outcome could not be told.
--- a/sapphirewalk/src/entry/log.rs
+++ b/sapphirewalk/src/entry/log.rs
@@ -16,6 +16,10 @@
 /// Bytes that wait to be written; lines beyond are left out and counted. Under 1% of the smallest
 /// VM's memory.
 const BUFFER_BYTES: usize = 1_048_576;
+/// Events that explain a failed request first begin so; they may use the whole buffer, others half.
+const ESSENTIAL_EVENTS: [&str; 6] = [
+    "cancel_", "job_", "office_", "process_", "request_", "store_",
+];
 /// A pipe that is ready takes this much without blocking.
 const PIECE_BYTES: usize = 4_096;
 /// Time between writes.
@@ -51,9 +55,14 @@
         slog::Logger::root(drain.fuse(), slog::o!("vm" => vm.to_owned()))
     }
 
-    fn push(&self, line: Vec<u8>) {
+    fn push(&self, line: Vec<u8>, essential: bool) {
         let mut buffer = self.lock();
-        if buffer.bytes + line.len() > BUFFER_BYTES {
+        let room = if essential {
+            BUFFER_BYTES
+        } else {
+            BUFFER_BYTES / 2
+        };
+        if buffer.bytes + line.len() > room {
             buffer.left_out += 1;
             return;
         }
@@ -138,7 +147,11 @@
         slog::KV::serialize(&kv, record, &mut pairs).map_err(io::Error::other)?;
         slog::KV::serialize(values, record, &mut pairs).map_err(io::Error::other)?;
         line.push(b'\n');
-        self.buffer.push(line);
+        let event = record.msg().to_string();
+        let named = |prefix: &&str| event.starts_with(*prefix);
+        let essential =
+            record.level().is_at_least(slog::Level::Warning) || ESSENTIAL_EVENTS.iter().any(named);
+        self.buffer.push(line, essential);
         Ok(())
     }
 }
--- a/sapphirewalk/src/entry/mod.rs
+++ b/sapphirewalk/src/entry/mod.rs
@@ -87,7 +87,7 @@
 }
 
 async fn serve(
-    settings: EntrySettings,
+    mut settings: EntrySettings,
     path: &path::Path,
     buffer: &LogBuffer,
 ) -> Result<(), std::io::Error> {
@@ -96,13 +96,20 @@
     let ready = TcpListener::bind(settings.ready_address).await?;
     let peers = TcpListener::bind(settings.peer_address).await?;
     let metrics = TcpListener::bind(settings.metrics_address).await?;
+    // Port 0 lets the system choose.
+    settings.caller_address = callers.local_addr()?;
+    settings.ready_address = ready.local_addr()?;
+    settings.peer_address = peers.local_addr()?;
+    settings.metrics_address = metrics.local_addr()?;
     let mut terminate = unix::signal(unix::SignalKind::terminate())?;
     let mut interrupt = unix::signal(unix::SignalKind::interrupt())?;
     let mut reload = unix::signal(unix::SignalKind::hangup())?;
     let node = rc::Rc::new(EntryNode::new(settings, log));
     slog::info!(node.log, "process_started"; "incarnation" => node.incarnation,
         "domain" => &node.settings.failure_domain,
-        "callers" => %node.settings.caller_address);
+        "callers" => %node.settings.caller_address,
+        "ready" => %node.settings.ready_address,
+        "metrics" => %node.settings.metrics_address);
     let closing = rc::Rc::new(ClosingFlag::default());
     task::spawn_local(flush(buffer.clone()));
     task::spawn_local(rules::follow(node.clone()));
--- a/sapphirewalk/src/entry/office.rs
+++ b/sapphirewalk/src/entry/office.rs
@@ -59,7 +59,7 @@
 /// Follows a coordinator until there is reason to doubt it, then finds out.
 async fn doubt(node: &rc::Rc<EntryNode>, view: OfficeView) {
     let end = peer::follow(node, view.row.address).await;
-    slog::info!(node.log, "office_doubted"; "vm" => &view.row.vm, "fence" => view.row.fence,
+    slog::info!(node.log, "office_doubted"; "holder" => &view.row.vm, "fence" => view.row.fence,
         "cause" => ?end);
     match judge(end, view.row.incarnation) {
         HolderVerdict::Gone => {
--- a/sapphirewalk/tests/docs.rs
+++ b/sapphirewalk/tests/docs.rs
@@ -179,3 +179,99 @@
         }
     }
 }
+
+/// Names that only the platform uses; the product has words of its own for all of them.
+const PLATFORM_NAMES: [&str; 15] = [
+    "minion",
+    "rows-tx",
+    "rows-get",
+    "rows-feed",
+    "run-start",
+    "run-stop",
+    "last_seen",
+    "fencing_token",
+    "expected_revision",
+    "depends_on",
+    "anti_affinity",
+    "long_running",
+    "fill_count",
+    "rack_sensitive",
+    "x-sapphirewalk",
+];
+
+#[test]
+fn nothing_outside_its_folder_knows_the_platforms_names() {
+    let mut folders = vec![
+        root().join("sapphirewalk/src"),
+        root().join("sapphirewalk_core/src"),
+    ];
+    let mut files = 0;
+    while let Some(folder) = folders.pop() {
+        for entry in fs::read_dir(folder).unwrap() {
+            let path = entry.unwrap().path();
+            if path.is_dir() {
+                folders.push(path);
+                continue;
+            }
+            files += 1;
+            let text = fs::read_to_string(&path).unwrap().to_ascii_lowercase();
+            for name in PLATFORM_NAMES {
+                assert!(!text.contains(name), "{} knows {name}", path.display());
+            }
+        }
+    }
+    assert!(files > 50, "{files} files read");
+}
+
+#[test]
+fn the_operations_page_lists_every_event_and_metric_of_an_entry_vm() {
+    let page = read("docs/OPERATIONS.md");
+    let mut sources = String::new();
+    for folder in [
+        "sapphirewalk/src/entry",
+        "sapphirewalk_core/src/coordinator",
+    ] {
+        for entry in fs::read_dir(root().join(folder)).unwrap() {
+            sources.push_str(&fs::read_to_string(entry.unwrap().path()).unwrap());
+        }
+    }
+    let mut events = 0;
+    for (before, rest) in sources
+        .match_indices('"')
+        .map(|(at, _)| sources.split_at(at))
+    {
+        let name = rest[1..].split('"').next().unwrap_or_default();
+        let logged = ["log, ", "self.log(", "event: "]
+            .iter()
+            .any(|call| before.trim_end().ends_with(call.trim_end()));
+        let name = name.split(' ').next().unwrap_or_default();
+        let plain = !name.is_empty()
+            && name
+                .bytes()
+                .all(|byte| byte.is_ascii_lowercase() || byte == b'_');
+        if logged && plain {
+            events += 1;
+            assert!(
+                page.contains(name),
+                "docs/OPERATIONS.md lacks the event {name}"
+            );
+        }
+    }
+    assert!(events > 25, "{events} events found");
+    let gauges = read("sapphirewalk/src/entry/gauge.rs");
+    for line in gauges
+        .lines()
+        .filter(|line| line.starts_with("        ") && line.ends_with(','))
+    {
+        let name = line.trim().trim_end_matches(',');
+        let plain = name
+            .bytes()
+            .all(|byte| byte.is_ascii_lowercase() || byte == b'_');
+        if plain {
+            assert!(
+                page.contains(name),
+                "docs/OPERATIONS.md lacks the metric {name}"
+            );
+        }
+    }
+}
--- a/sapphirewalk/tests/entry/fleet.rs
+++ b/sapphirewalk/tests/entry/fleet.rs
@@ -2,6 +2,7 @@
 
 use std::collections;
 use std::fs;
+use std::io;
 use std::net;
 use std::path;
 use std::process;
@@ -34,6 +35,8 @@
     name: String,
     settings: path::PathBuf,
     child: Option<process::Child>,
+    /// Nobody reads what it logs.
+    unread: bool,
     pub callers: net::SocketAddr,
     pub ready: net::SocketAddr,
     pub metrics: net::SocketAddr,
@@ -50,19 +53,53 @@
 
 impl EntryProcess {
     fn start(&mut self) {
+        let path = self.settings.with_extension("log");
+        let before = self.log().len();
         let log = fs::OpenOptions::new()
             .create(true)
             .append(true)
-            .open(self.settings.with_extension("log"))
+            .open(path)
             .expect("the test's folder takes files");
-        let child = process::Command::new(env!("CARGO_BIN_EXE_sapphirewalk"))
+        let mut child = process::Command::new(env!("CARGO_BIN_EXE_sapphirewalk"))
             .arg("entry")
             .arg("--settings")
             .arg(&self.settings)
-            .stdout(log)
+            .stdout(if self.unread {
+                process::Stdio::piped()
+            } else {
+                process::Stdio::from(log)
+            })
             .spawn()
             .expect("the binary starts");
+        let first_line = if self.unread {
+            // Only the first line is read; what follows stays in the pipe.
+            let output = child.stdout.as_mut().expect("the output is piped");
+            let mut line = Vec::new();
+            let mut byte = [0];
+            while byte != *b"\n" && io::Read::read(output, &mut byte).is_ok_and(|read| read == 1) {
+                line.push(byte[0]);
+            }
+            String::from_utf8_lossy(&line).into_owned()
+        } else {
+            self.await_first_line(before)
+        };
         self.child = Some(child);
+        self.callers = address_in(&first_line, "callers");
+        self.ready = address_in(&first_line, "ready");
+        self.metrics = address_in(&first_line, "metrics");
+    }
+
+    fn await_first_line(&self, before: usize) -> String {
+        let end = time::Instant::now() + PATIENCE;
+        loop {
+            let log = self.log();
+            let mut lines = log[before..].split_inclusive('\n');
+            if let Some(line) = lines.find(|line| line.ends_with('\n')) {
+                return line.to_owned();
+            }
+            assert!(time::Instant::now() < end, "{} doesn't start", self.name);
+            std::thread::sleep(POLL);
+        }
     }
 
     /// Kills the process.
@@ -73,6 +110,12 @@
         }
     }
 
+    /// Starts the process again, with a standard output that nobody reads.
+    pub fn restart_unread(&mut self) {
+        self.unread = true;
+        self.restart();
+    }
+
     /// Starts the process again.
     pub fn restart(&mut self) {
         self.kill();
@@ -157,13 +200,13 @@
     }
 
     fn add_entry(&mut self, number: usize) {
-        let ports: Vec<net::SocketAddr> = (0..4).map(|_| free_address()).collect();
+        let any = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 0));
         let name = format!("vm-{number}");
         let settings = self.folder.join(format!("{name}.json"));
         let document = json!({
             "vm": name, "failure_domain": format!("domain-{number}"),
-            "caller_address": ports[0], "ready_address": ports[1],
-            "peer_address": ports[2], "metrics_address": ports[3],
+            "caller_address": any, "ready_address": any,
+            "peer_address": any, "metrics_address": any,
             "store_address": self.store.address(), "cpu_share": 1.0,
             "bounds": {"longest_lease_ms": 10_000, "retention_s": 120, "harm_tolerance_ms": 4_000,
                 "stop_grace_s": 6}
@@ -173,9 +216,10 @@
             name,
             settings,
             child: None,
-            callers: ports[0],
-            ready: ports[1],
-            metrics: ports[3],
+            unread: false,
+            callers: any,
+            ready: any,
+            metrics: any,
         };
         entry.start();
         self.entries.push(entry);
@@ -328,9 +372,11 @@
     json!({"spec": run_ms.to_string(), "phases": phases})
 }
 
-/// An address on loopback that the system has just given out.
-fn free_address() -> net::SocketAddr {
-    let listener = net::TcpListener::bind((net::Ipv4Addr::LOCALHOST, 0));
-    let address = listener.and_then(|listener| listener.local_addr());
-    address.expect("loopback has ports")
+/// An address that a line of a log names.
+fn address_in(line: &str, key: &str) -> net::SocketAddr {
+    let found = line.split(&[' ', '\n'][..]).find_map(|word| {
+        let (known, value) = word.split_once('=')?;
+        (known == key).then(|| value.parse().ok())?
+    });
+    found.unwrap_or_else(|| panic!("no {key} in {line:?}"))
 }
--- a/sapphirewalk/tests/entry/main.rs
+++ b/sapphirewalk/tests/entry/main.rs
@@ -3,5 +3,6 @@
 mod explain;
 mod fleet;
 mod jobs;
+mod log;
 mod office;
 mod store;
