--- a/sapphirewalk_core/src/coordinator/commit.rs
+++ b/sapphirewalk_core/src/coordinator/commit.rs
@@ -20,9 +20,10 @@
 const RENEW_INTERVAL: TimeSpan = TimeSpan::from_millis(400);
 /// What has been learned of images goes on record this often: it changes within some seconds.
 const LEARNED_INTERVAL: TimeSpan = TimeSpan::from_millis(3_000);
-/// How long after the last batch on record orders are still given. Together with
-/// `look::LEASE_SPAN` it bounds what a successor has to wait out on workers out of reach.
-pub const AUTHORITY_SPAN: TimeSpan = TimeSpan::from_millis(6_000);
+/// How long after the last batch on record orders are still given: some renewals, and the time-outs
+/// of a batch whose answer is lost. Together with `look::LEASE_SPAN` it bounds what a successor has
+/// to wait out on workers out of reach, and what outage of the store runs outlive.
+pub const AUTHORITY_SPAN: TimeSpan = TimeSpan::from_millis(3_000);
 
 /// The batch on its way, and when the next is due.
 #[derive(Debug)]
--- a/sapphirewalk_core/tests/coordinator/faults.rs
+++ b/sapphirewalk_core/tests/coordinator/faults.rs
@@ -112,3 +112,25 @@
         assert_kept(seed, &play(seed, plan));
     }
 }
+
+#[test]
+fn runs_on_lost_workers_are_repeated_soon_after_a_takeover() {
+    for seed in 500..505 {
+        // Two workers go for good; before their leases are over, another coordinator takes office.
+        let plan = FaultPlan {
+            crashes: vec![(1, 4_000, 600_000), (2, 4_000, 600_000)],
+            takeovers: vec![8_500],
+            ..FaultPlan::default()
+        };
+        let mut world = World::new(seed, WORKERS, plan);
+        let mut lasting = world::step(20, 1_000, 1_000, &[]);
+        lasting.lasting = true;
+        world.submit(1_000, 1, "lasting", vec![lasting]);
+        world.run_until(8_400);
+        assert!(world.running(1) < 20);
+        // Calm again 3 s after the takeover; a lasting task may then be down for 7 s.
+        world.run_until(8_500 + 3_000 + 7_000 + 2_000);
+        assert_eq!(world.running(1), 20, "seed {seed}");
+        assert_eq!(world.breaches, Vec::<String>::new(), "seed {seed}");
+    }
+}
