Wait less for leases where the predecessor's process has ended

Cause: a coordinator that is killed gives no more orders, yet its successor waited for the 3 s of its authority too; on paper a lasting task of a lost worker then comes back 11.2 s after the kill, where 10 are allowed. A successor now asks at the predecessor's address for 3 s; another life of the process there proves that the old one has ended. A refused connection proves nothing, as cuts may refuse. Seen failing first: a_successor_of_an_ended_process_waits_for_its_leases_only.

--- a/sapphirewalk/src/entry/driver.rs
+++ b/sapphirewalk/src/entry/driver.rs
@@ -27,6 +27,7 @@
 use crate::entry::node::OfficeHandle;
 use crate::entry::office;
 use crate::entry::office::ConflictMeaning;
+use crate::entry::peer;
 use crate::entry::records;
 use crate::entry::records::JobRow;
 use crate::entry::records::OfficeRow;
@@ -39,6 +40,10 @@
 const FEED_WAIT: time::Duration = time::Duration::from_millis(2_000);
 /// Time between readings of the list of workers: a leaving worker must get nothing new 2 s later.
 const LIST_INTERVAL: time::Duration = time::Duration::from_millis(700);
+/// A predecessor is asked for this long: after that it gives no more orders in any case.
+const PREDECESSOR_WATCH: time::Duration = time::Duration::from_secs(3);
+/// Time between two such questions.
+const PREDECESSOR_POLL: time::Duration = time::Duration::from_millis(250);
 /// Missing workers stay in the list for this long after the store's return: their entries lapse
 /// while it is away, and come back within about 2 s.
 const LIST_GRACE: time::Duration = time::Duration::from_millis(2_500);
@@ -61,6 +66,7 @@
     row: OfficeRow,
     version: u64,
     asked_at: TimePoint,
+    before: Option<OfficeRow>,
 ) {
     let read = records::read_all(&node.store).await;
     node.note_store("read_records", &read);
@@ -96,6 +102,9 @@
     let mut tasks = task::JoinSet::new();
     tasks.spawn_local(list_workers(driver.clone()));
     tasks.spawn_local(follow_jobs(driver.clone(), feed_from));
+    if let Some(before) = before {
+        tasks.spawn_local(watch_predecessor(driver.clone(), before));
+    }
     while !driver.lost.get() && !node.stopping.get() {
         while let Some(ended) = tasks.try_join_next() {
             if let Err(error) = ended {
@@ -314,6 +323,23 @@
     }
 }
 
+/// Finds out whether the predecessor's process has ended, or had left the office itself.
+async fn watch_predecessor(driver: rc::Rc<OfficeDriver>, before: OfficeRow) {
+    let until = tokio::time::Instant::now() + PREDECESSOR_WATCH;
+    let own = before.incarnation == driver.node.incarnation;
+    let mut ended = before.vacant || own;
+    while !ended && tokio::time::Instant::now() < until {
+        ended = peer::has_ended(before.address, before.incarnation).await;
+        if !ended {
+            tokio::time::sleep(PREDECESSOR_POLL).await;
+        }
+    }
+    if ended {
+        let now = driver.node.now();
+        driver.coordinator.borrow_mut().predecessor_ended(now);
+    }
+}
+
 /// Reads the platform's list of workers again and again.
 async fn list_workers(driver: rc::Rc<OfficeDriver>) {
     let node = &driver.node;
--- a/sapphirewalk/src/entry/office.rs
+++ b/sapphirewalk/src/entry/office.rs
@@ -115,7 +115,9 @@
     if node.stopping.get() {
         return;
     }
-    let (fence, version) = view.map_or((1, 0), |view| (view.row.fence + 1, view.version));
+    let (fence, version) = view
+        .as_ref()
+        .map_or((1, 0), |view| (view.row.fence + 1, view.version));
     let row = OfficeRow {
         vm: node.settings.vm.clone(),
         incarnation: node.incarnation,
@@ -132,7 +134,8 @@
         Ok(ChangeOutcome::Done(version)) => {
             slog::info!(node.log, "office_won"; "fence" => fence, "version" => version);
             node.gauges.offices_taken.increment();
-            driver::coordinate(node, row, version, asked_at).await;
+            let before = view.map(|view| view.row);
+            driver::coordinate(node, row, version, asked_at, before).await;
         }
         Ok(ChangeOutcome::Conflict(_)) => {}
         Err(_) => tokio::time::sleep(RETRY_DELAY).await,
--- a/sapphirewalk/src/entry/peer.rs
+++ b/sapphirewalk/src/entry/peer.rs
@@ -264,6 +264,22 @@
     }
 }
 
+/// Whether another life of a process answers at an address: the one of that incarnation has ended.
+pub async fn has_ended(address: net::SocketAddr, incarnation: u64) -> bool {
+    let connecting = TcpStream::connect(address);
+    let Ok(Ok(stream)) = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await else {
+        return false;
+    };
+    let mut framed = Framed::new(stream, LengthDelimitedCodec::new());
+    let Ok(Some(Ok(frame))) = tokio::time::timeout(CONNECT_TIMEOUT, framed.next()).await else {
+        return false;
+    };
+    match postcard::from_bytes::<PeerMessage>(&frame) {
+        Ok(PeerMessage::Absent { incarnation: other }) => other != incarnation,
+        Ok(_) | Err(_) => false,
+    }
+}
+
 /// Keeps a connection to the coordinator in office; returns when it has to be doubted.
 pub async fn follow(node: &EntryNode, address: net::SocketAddr) -> LinkEnd {
     let connecting = TcpStream::connect(address);
--- a/sapphirewalk_core/src/coordinator/recover.rs
+++ b/sapphirewalk_core/src/coordinator/recover.rs
@@ -41,11 +41,7 @@
         let images = learned.len();
         self.pressure.take_over(learned, now);
         progress.sort_unstable_by_key(|row| row.id);
-        let inherited_until = now
-            + commit::AUTHORITY_SPAN
-            + look::LEASE_SPAN
-                .min(self.limits.longest_lease)
-                .scale(SLOW_CLOCK_FACTOR);
+        let inherited_until = self.last_lease_after(now + commit::AUTHORITY_SPAN);
         let total = jobs.len();
         let mut unfinished = 0usize;
         let mut limbo = 0usize;
@@ -94,10 +90,7 @@
                 self.drop_if_over(slot);
             }
         }
-        self.inherited_until = inherited_until;
-        for slot in self.workers.slots() {
-            self.workers.get_mut(slot).inherited_until = inherited_until;
-        }
+        self.inherit_leases(inherited_until);
         self.place_due = true;
         self.log(
             "office_taken",
@@ -108,4 +101,32 @@
             ),
         );
     }
+
+    /// The predecessor's process has ended by now: it gives no more orders, so only the leases that
+    /// it can have given until now have to be waited out.
+    pub fn predecessor_ended(&mut self, now: TimePoint) {
+        let until = self.last_lease_after(now);
+        if until >= self.inherited_until {
+            return;
+        }
+        self.inherit_leases(until);
+        let fence = self.fence;
+        self.log("predecessor_ended", None, format!("fence={fence}"));
+    }
+
+    /// When the last lease is over that is given at a time.
+    fn last_lease_after(&self, given_at: TimePoint) -> TimePoint {
+        let span = look::LEASE_SPAN.min(self.limits.longest_lease);
+        given_at + span.scale(SLOW_CLOCK_FACTOR)
+    }
+
+    fn inherit_leases(&mut self, until: TimePoint) {
+        self.inherited_until = until;
+        for slot in self.workers.slots() {
+            let entry = self.workers.get_mut(slot);
+            if !entry.adopted || entry.inherited_until > until {
+                entry.inherited_until = until;
+            }
+        }
+    }
 }
--- a/sapphirewalk_core/tests/coordinator/faults.rs
+++ b/sapphirewalk_core/tests/coordinator/faults.rs
@@ -134,3 +134,22 @@
         assert_eq!(world.breaches, Vec::<String>::new(), "seed {seed}");
     }
 }
+
+#[test]
+fn a_successor_of_an_ended_process_waits_for_its_leases_only() {
+    let plan = FaultPlan {
+        crashes: vec![(1, 4_000, 600_000)],
+        takeovers: vec![5_000],
+        ..FaultPlan::default()
+    };
+    let mut world = World::new(1, WORKERS, plan);
+    let mut lasting = world::step(20, 1_000, 1_000, &[]);
+    lasting.lasting = true;
+    world.submit(1_000, 1, "lasting", vec![lasting]);
+    world.run_until(5_100);
+    world.predecessor_ended();
+    // The last lease of 8 s, 2% for slow clocks, and a restart.
+    world.run_until(5_100 + 8_160 + 200);
+    assert_eq!(world.running(1), 20);
+    assert_eq!(world.breaches, Vec::<String>::new());
+}
--- a/sapphirewalk_core/tests/coordinator/world.rs
+++ b/sapphirewalk_core/tests/coordinator/world.rs
@@ -322,6 +322,16 @@
         office.coordinator.shown_state(JobId(id))
     }
 
+    /// The predecessors' processes end, and the one in office learns of it.
+    pub fn predecessor_ended(&mut self) {
+        let now = self.now();
+        let last = self.offices.len() - 1;
+        for office in &mut self.offices[..last] {
+            office.alive = false;
+        }
+        self.offices[last].coordinator.predecessor_ended(now);
+    }
+
     /// Tasks of a job that run on a worker now.
     pub fn running_on(&self, worker: usize, id: u64) -> usize {
         let runs = self.workers[worker].runs.iter();
