--- a/sapphirewalk/src/entry/settings.rs
+++ b/sapphirewalk/src/entry/settings.rs
@@ -130,7 +130,7 @@
             ),
             Self::Malformed(path, error) => write!(
                 formatter,
-                "the settings {} are malformed: {error}; see docs/SETTINGS.md",
+                "the settings {} are malformed: {error}; see docs/ENTRY-SETTINGS.md",
                 path.display()
             ),
             Self::OutOfRange(field, remedy) => {
--- a/sapphirewalk/tests/docs.rs
+++ b/sapphirewalk/tests/docs.rs
@@ -275,3 +275,28 @@
         }
     }
 }
+
+#[test]
+fn the_settings_page_lists_every_field_of_an_entry_vm() {
+    let page = read("docs/ENTRY-SETTINGS.md");
+    let source = read("sapphirewalk/src/entry/settings.rs");
+    let mut fields = 0;
+    for line in source.lines() {
+        let Some(rest) = line.strip_prefix("    pub ") else {
+            continue;
+        };
+        let Some((name, _)) = rest.split_once(": ") else {
+            continue;
+        };
+        if name
+            .bytes()
+            .all(|byte| byte.is_ascii_lowercase() || byte == b'_')
+        {
+            fields += 1;
+            let shown = [format!("| `{name}` |"), format!("| `bounds.{name}` |")];
+            let known = name == "bounds" || shown.iter().any(|row| page.contains(row.as_str()));
+            assert!(known, "docs/ENTRY-SETTINGS.md lacks {name}");
+        }
+    }
+    assert!(fields > 8, "{fields} fields found");
+}
--- a/sapphirewalk_core/src/coordinator/pace.rs
+++ b/sapphirewalk_core/src/coordinator/pace.rs
@@ -29,10 +29,10 @@
 /// Filling tasks that press are paced down at once where a tail is far over its target; where it
 /// is a little over, after this long, since loads swing by themselves.
 const PATIENT_SPAN: TimeSpan = TimeSpan::from_millis(900);
-/// A tail over its target makes every filling task that presses leave after this long,
-const CLEARING_SPAN: TimeSpan = TimeSpan::from_millis(1_800);
-/// and every filling task after this long: harm is tolerated for 4 s, and a stop takes up to 0.9.
-const EMPTYING_SPAN: TimeSpan = TimeSpan::from_millis(2_600);
+/// Share of the tolerated time of harm after which every filling task that presses leaves,
+const CLEARING_SHARE: f64 = 0.45;
+/// and every filling task: a stop takes up to 0.9 s of the 4 s that are tolerated.
+const EMPTYING_SHARE: f64 = 0.65;
 /// Logarithm of a tail over its target at which a strain begins: 0.97 of it.
 const STRAIN_BEGINS: f64 = -0.03;
 /// Logarithm below which a strain is over: 0.88 of the target.
@@ -112,11 +112,14 @@
         };
         let paces = self.filler_paces(&gauges, capacity, &tails, above);
         let lowered = paces.iter().any(|pace| pace.percent < pace.before);
+        let tolerance = self.limits.harm_tolerance;
+        let clearing_span = tolerance.scale(CLEARING_SHARE);
+        let emptying_span = tolerance.scale(EMPTYING_SHARE);
         let mut unexplained = strained_for >= UNEXPLAINED_SPAN && !lowered;
         for pace in paces {
             let presses = pace.pressure > HARMLESS_PRESSURE / 2.0;
-            let clearing = strained_for >= CLEARING_SPAN && presses;
-            if clearing || strained_for >= EMPTYING_SPAN || unexplained {
+            let clearing = strained_for >= clearing_span && presses;
+            if clearing || strained_for >= emptying_span || unexplained {
                 unexplained = false;
                 self.expel(worker, &pace, worst, strained_for);
             } else if pace.percent != pace.before {
