Run something of every job where half of the pool is free; tell no old counts

One task of a job with nothing running now goes where it presses least, while 0.42 of the pool is free. Counts older than 1.5 s are no longer told; the caller gets 503. Test: load::no_job_waits_with_nothing_running_where_half_of_the_pool_is_free, seen failing first.

--- a/sapphirewalk/src/entry/callers.rs
+++ b/sapphirewalk/src/entry/callers.rs
@@ -45,6 +45,8 @@
 /// Callers may come back after this span where the store is out of reach: another VM may reach it,
 /// and most outages of parts are over in seconds.
 const UNAVAILABLE_AFTER: TimeSpan = TimeSpan::from_millis(1_000);
+/// Oldest count of waiting jobs that is told while the coordinator doesn't answer: callers allow 2 s.
+const COUNT_AGE: TimeSpan = TimeSpan::from_millis(1_500);
 /// Requests that wait for an answer when the process shuts down get this long.
 const SHUTDOWN_POLL: time::Duration = time::Duration::from_millis(20);
 
@@ -311,12 +313,12 @@
     let mut counts = node.pending_counts.borrow_mut();
     match told {
         Some(count) => {
-            counts.insert(queue.to_owned(), count);
+            counts.insert(queue.to_owned(), (count, node.now()));
             CallerAnswer::Pending(count)
         }
         None => match counts.get(queue) {
-            Some(count) => CallerAnswer::Pending(*count),
-            None => unavailable(node, None, "no_coordinator"),
+            Some((count, at)) if node.now().since(*at) < COUNT_AGE => CallerAnswer::Pending(*count),
+            Some(_) | None => unavailable(node, None, "no_coordinator"),
         },
     }
 }
--- a/sapphirewalk/src/entry/node.rs
+++ b/sapphirewalk/src/entry/node.rs
@@ -61,8 +61,8 @@
     pub stop_signal: Notify,
     /// When the store began not to answer; none while it answers.
     store_lost_at: cell::Cell<Option<TimePoint>>,
-    /// The last pending counts that were told, by queue.
-    pub pending_counts: cell::RefCell<collections::BTreeMap<String, usize>>,
+    /// The last pending counts that were told, by queue, and when.
+    pub pending_counts: cell::RefCell<collections::BTreeMap<String, (usize, TimePoint)>>,
 }
 
 impl EntryNode {
--- a/sapphirewalk_core/src/coordinator/pace.rs
+++ b/sapphirewalk_core/src/coordinator/pace.rs
@@ -60,6 +60,15 @@
 /// Weight of a worker's lasting tasks of the same image in the choice of a worker.
 const SAME_IMAGE_WEIGHT: f64 = 1.0;
 
+/// How well a worker suits a filling task; more is better.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) enum FillerScore {
+    /// It may go there.
+    Suits(f64),
+    /// It would press a tail over its target, or get little of the worker.
+    Presses(f64),
+}
+
 /// The tail of a lasting task.
 #[derive(Clone, Copy, Debug)]
 struct MeasuredTail {
@@ -318,8 +327,8 @@
         }
     }
 
-    /// How well a worker suits a filling task; none where it would press a tail over its target.
-    pub(super) fn filler_score(&self, worker: WorkerSlot, step: &StepSpec) -> Option<f64> {
+    /// How well a worker suits a filling task.
+    pub(super) fn filler_score(&self, worker: WorkerSlot, step: &StepSpec) -> FillerScore {
         let entry = self.workers.get(worker);
         let mean = entry.mean_tail;
         let capacity = entry.report.capacity.cpu_millis.max(1) as f64;
@@ -344,9 +353,7 @@
             }
         }
         let share = step.demand.cpu_millis as f64 / capacity;
-        if left - share < -OVERBOOKING {
-            return None;
-        }
+        let mut presses = left - share < -OVERBOOKING;
         let mut total = 0.0;
         if let Some(image) = self.pressure.find(&step.image) {
             lasting.sort_unstable();
@@ -357,12 +364,17 @@
                 let added = weight * share;
                 let expected = self.pressure.expect(kind, &loads).max(mean + added);
                 if added > HARMLESS_PRESSURE && expected > PLACE_CEILING {
-                    return None;
+                    presses = true;
                 }
                 total += added;
             }
         }
-        Some(left - share - total)
+        let score = left - share - total;
+        if presses {
+            FillerScore::Presses(score)
+        } else {
+            FillerScore::Suits(score)
+        }
     }
 
     /// How well a worker suits a lasting task: beside tasks of its own image, so that filling
--- a/sapphirewalk_core/src/coordinator/place.rs
+++ b/sapphirewalk_core/src/coordinator/place.rs
@@ -2,6 +2,7 @@
 
 use crate::coordinator::JobCoordinator;
 use crate::coordinator::look;
+use crate::coordinator::pace::FillerScore;
 use crate::job_book::JobEntry;
 use crate::job_book::JobSlot;
 use crate::job_book::TaskPhase;
@@ -123,7 +124,7 @@
         let spec = job.spec.clone();
         let step = &spec.steps[index];
         let plain = step.required_label.is_none() && step.per_worker == 0;
-        if full.covers(&waiting.pool, step) {
+        if full.covers(&waiting.pool, step) && !(step.filler && self.is_starved(waiting)) {
             return;
         }
         let first = job.first_tasks[index];
@@ -144,7 +145,8 @@
         }
         let mut placed = Vec::with_capacity(open.len());
         for slot in open {
-            let Some(worker) = self.choose_worker(slot, step, waiting, now) else {
+            let starved = step.filler && placed.is_empty() && self.is_starved(waiting);
+            let Some(worker) = self.choose_worker(slot, step, waiting, starved, now) else {
                 if plain {
                     full.add(&waiting.pool, step);
                 }
@@ -218,6 +220,7 @@
         slot: TaskSlot,
         step: &StepSpec,
         waiting: &WaitingStep,
+        starved: bool,
         now: TimePoint,
     ) -> Option<WorkerSlot> {
         let job = self.jobs.get(slot.job)?;
@@ -242,8 +245,9 @@
             }
             let mut score = if step.filler {
                 match self.filler_score(worker, step) {
-                    Some(score) => score,
-                    None => continue,
+                    FillerScore::Suits(score) => score,
+                    FillerScore::Presses(score) if starved => score - PRESSING_PENALTY,
+                    FillerScore::Presses(_) => continue,
                 }
             } else if step.lasting {
                 self.lasting_score(worker, step) - others as f64 * SAME_STEP_PENALTY
@@ -267,6 +271,27 @@
         best.map(|(_, worker)| worker)
     }
 
+    /// Whether a job has nothing running while less than about half of its pool is claimed. Then one
+    /// of its tasks runs even where it presses on others, or gets little of a worker.
+    fn is_starved(&self, waiting: &WaitingStep) -> bool {
+        let Some(job) = self.jobs.get(waiting.job) else {
+            return false;
+        };
+        let mut tasks = job.occurrences.iter().flat_map(|entry| &entry.tasks);
+        if tasks.any(|task| task.phase.is_placed()) {
+            return false;
+        }
+        let mut capacity = ResourceVector::ZERO;
+        let mut used = ResourceVector::ZERO;
+        for (_, entry) in self.workers.iter() {
+            if entry.listed && entry.report.pool == waiting.pool {
+                capacity = capacity + entry.report.capacity;
+                used = used + entry.used;
+            }
+        }
+        share_free(capacity.saturating_sub(used), capacity) > STARVED_FREE_SHARE
+    }
+
     /// Tasks of the same step and occurrence that are placed on a worker.
     fn tasks_of_step(&self, job: &JobEntry, slot: TaskSlot, worker: WorkerSlot) -> usize {
         let step = job.step_of(slot.task);
@@ -290,6 +315,11 @@
     cpu.min(memory)
 }
 
+/// Free share of a pool from which on no job may wait with nothing running: callers are promised
+/// that where half is free, with some slack for what is about to end.
+const STARVED_FREE_SHARE: f64 = 0.42;
+/// Keeps a starved filling task off workers where it presses, unless it presses everywhere.
+const PRESSING_PENALTY: f64 = 20.0;
 /// Keeps tasks of one lasting step apart, so that the loss of a worker takes few of them.
 const SAME_STEP_PENALTY: f64 = 0.5;
 /// Keeps a task off the worker where it just failed, unless there is no other.
--- a/sapphirewalk_core/tests/coordinator/load.rs
+++ b/sapphirewalk_core/tests/coordinator/load.rs
@@ -148,3 +148,31 @@
     assert!(in_time >= 50, "{in_time} of 60 in time");
     assert_eq!(urgent_beside_hanging(Vec::new()), 60);
 }
+
+#[test]
+fn no_job_waits_with_nothing_running_where_half_of_the_pool_is_free() {
+    let mut world = World::new(7, 8, FaultPlan::default());
+    world.pressing = vec![("f0".to_owned(), "s0".to_owned())];
+    let mut lasting = world::step(8, 5_000, 1_000, &[]);
+    lasting.lasting = true;
+    lasting.image = "s0".to_owned();
+    lasting.tail_target = TimeSpan::from_millis(14);
+    world.submit(500, 1, "lasting", vec![lasting]);
+    for id in 0..24 {
+        let mut step = world::step(4, 3_000, 2_000, &[]);
+        step.filler = true;
+        step.image = "f0".to_owned();
+        world.submit(3_000 + id * 50, 100 + id, "bulk", vec![step]);
+    }
+    // Every worker has a lasting task on which these press, and a third of it is claimed.
+    world.run_until(7_000);
+    for at in [8_000, 11_000, 14_000, 17_000] {
+        let before: Vec<(u64, u32)> = (100..124).map(|id| (id, world.starts_of(id))).collect();
+        world.run_until(at + 3_000);
+        for (id, starts) in before {
+            let idle = world.running(id) == 0 && world.starts_of(id) == starts;
+            let over = world.shown(id) == Some(JobState::Completed);
+            assert!(over || !idle, "job {id} had nothing running for 3 s");
+        }
+    }
+}
--- a/sapphirewalk_core/tests/coordinator/world.rs
+++ b/sapphirewalk_core/tests/coordinator/world.rs
@@ -332,6 +332,15 @@
         self.offices[last].coordinator.predecessor_ended(now);
     }
 
+    /// Starts of a job's tasks so far.
+    pub fn starts_of(&self, id: u64) -> u32 {
+        let starts = self.starts.iter();
+        starts
+            .filter(|(task, _)| task.job == JobId(id))
+            .map(|(_, starts)| starts)
+            .sum()
+    }
+
     /// Tasks of a job that run on a worker now.
     pub fn running_on(&self, worker: usize, id: u64) -> usize {
         let runs = self.workers[worker].runs.iter();
