--- a/sapphirewalk/src/entry/peer.rs
+++ b/sapphirewalk/src/entry/peer.rs
@@ -117,18 +117,9 @@
         let number = self.number();
         let (sender, receiver) = oneshot::channel();
         self.waiting.borrow_mut().states.insert(number, sender);
-        let sent = self.sender.send(PeerRequest::State { number, id });
-        let answer = if sent.is_ok() {
-            tokio::time::timeout(ASK_TIMEOUT, receiver).await
-        } else {
-            return Err(LinkEnd::Broken);
-        };
+        let answer = self.ask(PeerRequest::State { number, id }, receiver).await;
         self.waiting.borrow_mut().states.remove(&number);
-        match answer {
-            Ok(Ok(state)) => Ok(state),
-            Ok(Err(_closed)) => Err(LinkEnd::Broken),
-            Err(_elapsed) => Err(LinkEnd::Silent),
-        }
+        answer
     }
 
     /// How many jobs of a queue wait; an error when the coordinator doesn't answer.
@@ -137,15 +128,22 @@
         let (sender, receiver) = oneshot::channel();
         self.waiting.borrow_mut().pending.insert(number, sender);
         let queue = queue.to_owned();
-        let sent = self.sender.send(PeerRequest::Pending { number, queue });
-        let answer = if sent.is_ok() {
-            tokio::time::timeout(ASK_TIMEOUT, receiver).await
-        } else {
-            return Err(LinkEnd::Broken);
-        };
+        let request = PeerRequest::Pending { number, queue };
+        let answer = self.ask(request, receiver).await;
         self.waiting.borrow_mut().pending.remove(&number);
-        match answer {
-            Ok(Ok(pending)) => Ok(pending),
+        answer
+    }
+
+    async fn ask<T>(
+        &self,
+        request: PeerRequest,
+        receiver: oneshot::Receiver<T>,
+    ) -> Result<T, LinkEnd> {
+        self.sender
+            .send(request)
+            .map_err(|_closed| LinkEnd::Broken)?;
+        match tokio::time::timeout(ASK_TIMEOUT, receiver).await {
+            Ok(Ok(answer)) => Ok(answer),
             Ok(Err(_closed)) => Err(LinkEnd::Broken),
             Err(_elapsed) => Err(LinkEnd::Silent),
         }
--- a/sapphirewalk_core/src/coordinator/look.rs
+++ b/sapphirewalk_core/src/coordinator/look.rs
@@ -5,7 +5,6 @@
 use crate::coordinator::ListedEnd;
 use crate::coordinator::ListedRun;
 use crate::coordinator::LookAnswer;
-use crate::coordinator::OrderAnswer;
 use crate::coordinator::RunEnd;
 use crate::job_book::JobState;
 use crate::job_book::TaskPhase;
@@ -27,36 +26,12 @@
 const LOOK_RETRY: TimeSpan = TimeSpan::from_millis(300);
 /// A worker that has not answered for this long gets nothing new: a look's wait and as much again.
 pub const SILENCE_LIMIT: TimeSpan = TimeSpan::from_millis(2_200);
-/// A worker that did not answer an order gets nothing new for this long.
-const MISSING_SHUN: TimeSpan = TimeSpan::from_millis(1_000);
-/// A worker that refused an order because it is unwell gets nothing new for this long.
-const UNWELL_SHUN: TimeSpan = TimeSpan::from_millis(1_500);
 /// Runs that fail in a row on one worker before it is shunned.
 const FAILURE_LIMIT: u32 = 2;
 /// A worker on which runs fail gets nothing new for this long at first.
 const FAILURE_SHUN: TimeSpan = TimeSpan::from_millis(2_500);
 /// Longest time for which failures shun a worker.
 const LONGEST_SHUN: TimeSpan = TimeSpan::from_millis(10_000);
-/// Time before an order without an answer is sent again.
-const RESEND_DELAY: TimeSpan = TimeSpan::from_millis(150);
-/// Time before a run that was turned away is tried elsewhere.
-const TURNED_AWAY_DELAY: TimeSpan = TimeSpan::from_millis(20);
-
-/// An order to send again.
-#[derive(Clone, Copy, Debug)]
-pub struct ResendEntry {
-    at: TimePoint,
-    worker: WorkerSlot,
-    run: RunName,
-    kind: ResendKind,
-}
-
-/// What to send again.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum ResendKind {
-    Start,
-    Stop,
-}
 
 impl JobCoordinator {
     /// Looks at the workers whose turn has come.
@@ -323,7 +298,7 @@
     }
 
     /// A task of a job has begun: the job no longer counts as waiting.
-    fn note_begun(&mut self, slot: TaskSlot) {
+    pub(super) fn note_begun(&mut self, slot: TaskSlot) {
         if let Some(job) = self.jobs.get_mut(slot.job)
             && job.state == JobState::Queued
         {
@@ -501,217 +476,6 @@
         }
     }
 
-    pub(super) fn on_started(
-        &mut self,
-        worker: WorkerSlot,
-        run: RunName,
-        answer: OrderAnswer,
-        now: TimePoint,
-    ) {
-        if answer == OrderAnswer::Fenced {
-            self.step_down("start", worker);
-            return;
-        }
-        let Some(slot) = self.placed_run(worker, run) else {
-            return;
-        };
-        let over = self
-            .jobs
-            .get(slot.job)
-            .is_none_or(|job| job.state.is_final());
-        let Some(task) = self.jobs.task_mut(slot) else {
-            return;
-        };
-        if task.phase != TaskPhase::Starting {
-            return;
-        }
-        let unsure = task.unsure;
-        match answer {
-            OrderAnswer::Accepted { clock_ms } => {
-                task.phase = TaskPhase::Running;
-                task.since = now;
-                task.moved_at = now;
-                task.percent = 0;
-                task.unsure = false;
-                task.confirmed_ms = clock_ms;
-                if over {
-                    self.order_stop(slot, "job_over");
-                }
-                self.note_begun(slot);
-                return;
-            }
-            OrderAnswer::Superseded => {
-                task.phase = TaskPhase::Running;
-                task.unsure = false;
-                return;
-            }
-            OrderAnswer::Missing => {
-                task.unsure = true;
-                task.doubted = true;
-                self.shun(worker, MISSING_SHUN, "start_missing", now);
-                self.resend(worker, run, ResendKind::Start, now);
-                return;
-            }
-            OrderAnswer::NoRoom
-            | OrderAnswer::Unwell
-            | OrderAnswer::Expired
-            | OrderAnswer::BadTicket
-            | OrderAnswer::OtherLife
-            | OrderAnswer::Unsent
-            | OrderAnswer::Malformed
-            | OrderAnswer::Fenced => {}
-        }
-        let id = self.workers.get(worker).report.id.clone();
-        self.log(
-            "run_turned_away",
-            Some(run.task.job),
-            format!("run={run} worker={id} answer={answer:?} unsure={unsure}"),
-        );
-        match answer {
-            OrderAnswer::Unwell => self.shun(worker, UNWELL_SHUN, "unwell", now),
-            OrderAnswer::Unsent => self.shun(worker, MISSING_SHUN, "unreachable", now),
-            OrderAnswer::OtherLife => self.shun(worker, MISSING_SHUN, "other_life", now),
-            _ => {}
-        }
-        if unsure {
-            // An earlier send of this run may be carried out yet: only a stop rules that out.
-            self.order_stop(slot, "start_unsure");
-            if let Some(task) = self.jobs.task_mut(slot) {
-                task.phase = TaskPhase::Running;
-            }
-            return;
-        }
-        if let Some(task) = self.jobs.task_mut(slot) {
-            task.avoid = Some(worker);
-        }
-        self.release(slot, now, TURNED_AWAY_DELAY);
-        self.mark_dirty(slot.job);
-    }
-
-    pub(super) fn on_stopped(
-        &mut self,
-        worker: WorkerSlot,
-        run: RunName,
-        answer: OrderAnswer,
-        now: TimePoint,
-    ) {
-        match answer {
-            OrderAnswer::Fenced => self.step_down("stop", worker),
-            OrderAnswer::Accepted { clock_ms } => {
-                if let Some(slot) = self.placed_run(worker, run)
-                    && let Some(task) = self.jobs.task_mut(slot)
-                {
-                    task.unsure = false;
-                    task.confirmed_ms = task.confirmed_ms.max(clock_ms);
-                    if task.phase == TaskPhase::Starting {
-                        task.phase = TaskPhase::Running;
-                    }
-                }
-            }
-            OrderAnswer::Missing | OrderAnswer::Unwell | OrderAnswer::Unsent => {
-                if self.placed_run(worker, run).is_some() {
-                    self.resend(worker, run, ResendKind::Stop, now);
-                }
-            }
-            OrderAnswer::Superseded
-            | OrderAnswer::Expired
-            | OrderAnswer::NoRoom
-            | OrderAnswer::BadTicket
-            | OrderAnswer::OtherLife
-            | OrderAnswer::Malformed => {}
-        }
-    }
-
-    /// The slot of a run that is placed on a worker.
-    pub(super) fn placed_run(&self, worker: WorkerSlot, run: RunName) -> Option<TaskSlot> {
-        let slot = self.jobs.locate(run.task)?;
-        let task = self.jobs.task(slot)?;
-        let placed =
-            task.worker == Some(worker) && task.attempt == run.attempt && task.phase.is_placed();
-        placed.then_some(slot)
-    }
-
-    fn resend(&mut self, worker: WorkerSlot, run: RunName, kind: ResendKind, now: TimePoint) {
-        self.resends.push(ResendEntry {
-            at: now + RESEND_DELAY,
-            worker,
-            run,
-            kind,
-        });
-    }
-
-    /// Sends orders again that had no answer.
-    pub(super) fn resend_due(&mut self, now: TimePoint) {
-        if !self.has_authority(now) {
-            return;
-        }
-        let due: Vec<ResendEntry> = self
-            .resends
-            .iter()
-            .filter(|entry| entry.at <= now)
-            .copied()
-            .collect();
-        self.resends.retain(|entry| entry.at > now);
-        for entry in due {
-            let Some(slot) = self.placed_run(entry.worker, entry.run) else {
-                continue;
-            };
-            let over = self
-                .jobs
-                .get(slot.job)
-                .is_none_or(|job| job.state.is_final());
-            let starting = self
-                .jobs
-                .task(slot)
-                .is_some_and(|task| task.phase == TaskPhase::Starting);
-            if entry.kind == ResendKind::Stop || over {
-                self.order_stop(slot, "again");
-            } else if starting {
-                self.send_start(slot, now);
-            }
-        }
-    }
-
-    /// Sends the start of a run that is on record.
-    pub(super) fn send_start(&mut self, slot: TaskSlot, now: TimePoint) {
-        let Some(run) = self.jobs.run_name(slot) else {
-            return;
-        };
-        let Some(worker) = self.jobs.task(slot).and_then(|task| task.worker) else {
-            return;
-        };
-        let span = LEASE_SPAN.min(self.limits.longest_lease);
-        let entry = self.workers.get(worker);
-        let fresh = entry
-            .clock_at(now)
-            .map_or(0, |clock| clock + span.as_millis());
-        // A start that is sent again keeps its deadline, so that the wait for a worker that has
-        // gone silent comes to an end.
-        let first = self.jobs.task(slot).map_or(0, |task| task.deadline_ms);
-        let deadline_ms = if first > 0 { first } else { fresh };
-        let entry = self.workers.get_mut(worker);
-        entry.granted_ms = entry.granted_ms.max(deadline_ms);
-        let target = self.target(worker);
-        let Some(job) = self.jobs.get(slot.job) else {
-            return;
-        };
-        let spec = job.spec.clone();
-        let Some(task) = self.jobs.task_mut(slot) else {
-            return;
-        };
-        task.phase = TaskPhase::Starting;
-        task.since = now;
-        task.deadline_ms = deadline_ms;
-        let checkpoint = task.checkpoint.clone();
-        self.effects.push(Effect::Start {
-            target,
-            run,
-            spec,
-            deadline_ms,
-            checkpoint,
-        });
-    }
-
     pub(super) fn shun(
         &mut self,
         worker: WorkerSlot,
--- a/sapphirewalk_core/src/coordinator/mod.rs
+++ b/sapphirewalk_core/src/coordinator/mod.rs
@@ -10,6 +10,7 @@
 mod evacuate;
 mod event;
 mod look;
+mod order;
 mod pace;
 mod place;
 mod recover;
@@ -62,10 +63,8 @@
     limits: CoordinatorLimits,
     fence: u64,
     rules: WorkRules,
-    /// Jobs by slot.
-    pub jobs: JobBook,
-    /// Workers by slot.
-    pub workers: WorkerBook,
+    jobs: JobBook,
+    workers: WorkerBook,
     pressure: PressureModel,
     dirty: Vec<JobSlot>,
     removed: Vec<JobId>,
@@ -73,7 +72,7 @@
     place_due: bool,
     next_place: TimePoint,
     next_sweep: TimePoint,
-    resends: Vec<look::ResendEntry>,
+    resends: Vec<order::ResendEntry>,
     /// The latest end of leases that a predecessor may have given.
     inherited_until: TimePoint,
     effects: Vec<Effect>,
@@ -455,7 +454,7 @@
 /// Bits of a fencing token that count the lives of a worker: orders meant for an earlier life are
 /// refused by the next one.
 const LIFE_BITS: u32 = 16;
-/// Attempts of a task whose queue was dropped: the brief's sites allow 2 to 4.
+/// Attempts of a task whose queue was dropped: the users' queues allow 2 to 4.
 const FALLBACK_ATTEMPTS: u32 = 3;
 /// Slowdown factor of a job whose queue was dropped, as the sites' bulk queues have.
 const FALLBACK_SLOWDOWN: f64 = 2.0;
