--- a/sapphirewalk/src/entry/driver.rs
+++ b/sapphirewalk/src/entry/driver.rs
@@ -77,9 +77,7 @@
     let limits = node.settings.coordinator_limits();
     let mut coordinator = JobCoordinator::new(limits, row.fence, asked_at);
     coordinator.set_rules((*node.current_rules()).clone());
-    if row.fence > 1 {
-        coordinator.restore(jobs, now);
-    }
+    coordinator.restore(jobs, now);
     let (events, mut receiver) = mpsc::unbounded_channel();
     let driver = rc::Rc::new(OfficeDriver {
         node: node.clone(),
--- a/sapphirewalk/tests/entry/office.rs
+++ b/sapphirewalk/tests/entry/office.rs
@@ -56,3 +56,19 @@
     }
     fleet.assert_no_doubles();
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_first_coordinator_knows_jobs_that_were_accepted_before_it() {
+    let mut fleet = EntryFleet::start("first", 1).await;
+    assert_eq!(fleet.submit(0, 310, 300, &[1]).await, 200);
+    fleet.until_state(0, 310, "completed").await;
+    fleet.entries[0].kill();
+    // What is left is what a caller's VM stores before anybody has ever been in office.
+    fleet.store.drop_table("office");
+    fleet.store.drop_table("progress");
+    for worker in &fleet.workers {
+        worker.forget_all();
+    }
+    fleet.entries[0].restart();
+    fleet.until_state(0, 310, "completed").await;
+}
--- a/sapphirewalk_core/src/coordinator/recover.rs
+++ b/sapphirewalk_core/src/coordinator/recover.rs
@@ -12,6 +12,8 @@
 use crate::job_spec::JobId;
 use crate::time::TimePoint;
 
+/// The fencing token of the first coordinator.
+const FIRST_FENCE: u64 = 1;
 /// Slack for slow clocks of workers when a predecessor's leases are waited out.
 const SLOW_CLOCK_FACTOR: f64 = 1.02;
 
@@ -41,7 +43,12 @@
         let images = learned.len();
         self.pressure.take_over(learned, now);
         progress.sort_unstable_by_key(|row| row.id);
-        let inherited_until = self.last_lease_after(now + commit::AUTHORITY_SPAN);
+        // The first coordinator of all has no predecessor whose leases could last.
+        let inherited_until = if self.fence <= FIRST_FENCE {
+            now
+        } else {
+            self.last_lease_after(now + commit::AUTHORITY_SPAN)
+        };
         let total = jobs.len();
         let mut unfinished = 0usize;
         let mut limbo = 0usize;
