--- a/sapphirewalk/src/cli.rs
+++ b/sapphirewalk/src/cli.rs
@@ -33,10 +33,10 @@
     #[options(help = "run the scheduler: batch tasks on workers")]
     Scheduler(DaemonOptions),
     /// Serves callers on an entry VM of the users' platform.
-    #[options(help = "run an entry VM: accept jobs, and coordinate them when in office")]
+    #[options(help = "run an entry VM: accept jobs, and coordinate them when leading")]
     Entry(EntryOptions),
-    /// Tells the life of a job from logs.
-    #[options(help = "tell the life of a job from logs of entry VMs")]
+    /// Tells the history of a job from logs.
+    #[options(help = "tell the history of a job from logs of entry VMs")]
     Explain(ExplainOptions),
     /// Makes an operator's key.
     #[options(help = "make an operator's signing key")]
@@ -107,7 +107,7 @@
     pub check: bool,
 }
 
-/// Tells the life of a job, and the beliefs that decided it, from gathered logs.
+/// Tells the history of a job, and the beliefs that decided it, from gathered logs.
 #[derive(Debug)]
 #[derive(Options)]
 pub struct ExplainOptions {
--- a/sapphirewalk/src/entry/callers.rs
+++ b/sapphirewalk/src/entry/callers.rs
@@ -199,7 +199,7 @@
                     "repeated" => repeated, "took" => %waited);
                 node.gauges.jobs_accepted.increment();
                 node.gauges.accept_ms.record(waited);
-                tell_office(node, Event::Stored(record));
+                tell_leader(node, Event::Stored(record));
                 return CallerAnswer::Accepted;
             }
             Err(StoreError::Refused) if waited < REFUSAL_PATIENCE => {
@@ -237,7 +237,7 @@
         Ok(_) => {
             slog::info!(node.log, "cancel_accepted job={}", id);
             node.gauges.jobs_cancelled.increment();
-            tell_office(node, Event::Cancelled(id));
+            tell_leader(node, Event::Cancelled(id));
             CallerAnswer::Cancelled
         }
         Err(StoreError::Refused) => unavailable(node, Some(id), "store_refuses"),
@@ -248,11 +248,11 @@
     }
 }
 
-/// Tells the coordinator in office, here or elsewhere; its feed of the store is slower.
-fn tell_office(node: &EntryNode, event: Event) {
-    if let Some(office) = node.own_office() {
-        // The receiver is gone only when the office has just been left.
-        let _sent = office.events.send(event);
+/// Tells the leader, here or elsewhere; its feed of the store is slower.
+fn tell_leader(node: &EntryNode, event: Event) {
+    if let Some(leader) = node.own_leadership() {
+        // The receiver is gone only when the leadership has just been left.
+        let _sent = leader.events.send(event);
     } else if let Some(link) = node.peer_link() {
         link.tell(&event);
     }
@@ -260,8 +260,8 @@
 
 async fn state(node: &EntryNode, id: JobId, began: TimePoint) -> CallerAnswer {
     node.gauges.state_questions.increment();
-    let known = if let Some(office) = node.own_office() {
-        office.coordinator.borrow().shown_state(id)
+    let known = if let Some(leader) = node.own_leadership() {
+        leader.coordinator.borrow().shown_state(id)
     } else if let Some(link) = node.peer_link() {
         link.state(id).await.unwrap_or(None)
     } else {
@@ -303,8 +303,8 @@
 }
 
 async fn pending(node: &EntryNode, queue: &str) -> CallerAnswer {
-    let told = if let Some(office) = node.own_office() {
-        Some(office.coordinator.borrow().pending_jobs(queue))
+    let told = if let Some(leader) = node.own_leadership() {
+        Some(leader.coordinator.borrow().pending_jobs(queue))
     } else if let Some(link) = node.peer_link() {
         link.pending(queue).await.ok()
     } else {
--- a/sapphirewalk/src/entry/driver.rs
+++ b/sapphirewalk/src/entry/driver.rs
@@ -9,28 +9,29 @@
 use sapphirewalk_core::coordinator::Effect;
 use sapphirewalk_core::coordinator::Event;
 use sapphirewalk_core::coordinator::JobCoordinator;
-use sapphirewalk_core::coordinator::LookAnswer;
 use sapphirewalk_core::coordinator::OrderAnswer;
+use sapphirewalk_core::coordinator::PollAnswer;
 use sapphirewalk_core::time::TimePoint;
 use sapphirewalk_core::worker_book::WorkerReport;
 use sapphirewalk_platform::discovery;
+use sapphirewalk_platform::discovery::WorkerList;
 use sapphirewalk_platform::store;
 use sapphirewalk_platform::store::ChangeOutcome;
 use sapphirewalk_platform::store::FeedOutcome;
-use sapphirewalk_platform::store::RowPlace;
 use sapphirewalk_platform::store::StoreError;
 use sapphirewalk_platform::worker::WorkerClient;
 use tokio::sync::mpsc;
 use tokio::task;
 
+use crate::entry::election;
+use crate::entry::election::ConflictMeaning;
 use crate::entry::node::EntryNode;
-use crate::entry::node::OfficeHandle;
-use crate::entry::office;
-use crate::entry::office::ConflictMeaning;
+use crate::entry::node::LeaderHandle;
 use crate::entry::peer;
 use crate::entry::records;
 use crate::entry::records::JobRow;
-use crate::entry::records::OfficeRow;
+use crate::entry::records::LeaderRow;
+use crate::entry::records::RecordSet;
 
 /// Time for recording a batch: 5 ms on a good day, 60 times as much on a bad one.
 const BATCH_TIMEOUT: time::Duration = time::Duration::from_millis(1_000);
@@ -48,38 +49,40 @@
 /// while it is away, and come back within about 2 s.
 const LIST_GRACE: time::Duration = time::Duration::from_millis(2_500);
 
-/// What the tasks of one office share.
-struct OfficeDriver {
+/// What the tasks of one leadership share.
+struct LeaderDriver {
     node: rc::Rc<EntryNode>,
     coordinator: rc::Rc<cell::RefCell<JobCoordinator>>,
     events: mpsc::UnboundedSender<Event>,
     workers: WorkerClient,
-    row: cell::RefCell<OfficeRow>,
+    row: cell::RefCell<LeaderRow>,
     version: cell::Cell<u64>,
     lost: cell::Cell<bool>,
     committing: cell::Cell<bool>,
 }
 
-/// Coordinates until the office is lost or left.
+/// Coordinates until the leadership is lost or released.
 pub async fn coordinate(
     node: &rc::Rc<EntryNode>,
-    row: OfficeRow,
+    row: LeaderRow,
     version: u64,
     asked_at: TimePoint,
-    before: Option<OfficeRow>,
+    before: Option<LeaderRow>,
 ) {
     let read = records::read_all(&node.store).await;
     node.note_store("read_records", &read);
-    let Ok((jobs, feed_from)) = read else {
+    let Ok(set) = read else {
         return leave_unused(node, row, version).await;
     };
+    log_unreadable(node, &set);
+    let (jobs, feed_from) = (set.records, set.version);
     let now = node.now();
     let limits = node.settings.coordinator_limits();
     let mut coordinator = JobCoordinator::new(limits, row.fence, asked_at);
     coordinator.set_rules((*node.current_rules()).clone());
     coordinator.restore(jobs, now);
     let (events, mut receiver) = mpsc::unbounded_channel();
-    let driver = rc::Rc::new(OfficeDriver {
+    let driver = rc::Rc::new(LeaderDriver {
         node: node.clone(),
         coordinator: rc::Rc::new(cell::RefCell::new(coordinator)),
         events: events.clone(),
@@ -90,13 +93,13 @@
         committing: cell::Cell::new(false),
     });
     let fence = driver.row.borrow().fence;
-    *node.office.borrow_mut() = Some(OfficeHandle {
+    *node.leadership.borrow_mut() = Some(LeaderHandle {
         fence,
         coordinator: driver.coordinator.clone(),
         events,
     });
     node.gauges.takeover_ms.record(node.now().since(asked_at));
-    // Dropping the set ends every task of this office.
+    // Dropping the set ends every task of this leadership.
     let mut tasks = task::JoinSet::new();
     tasks.spawn_local(list_workers(driver.clone()));
     tasks.spawn_local(follow_jobs(driver.clone(), feed_from));
@@ -106,7 +109,7 @@
     while !driver.lost.get() && !node.stopping.get() {
         while let Some(ended) = tasks.try_join_next() {
             if let Err(error) = ended {
-                slog::error!(node.log, "office_task_failed"; "error" => %error);
+                slog::error!(node.log, "leader_task_failed"; "error" => %error);
             }
         }
         let now = node.now();
@@ -134,23 +137,30 @@
         }
     }
     let lost = driver.lost.get();
-    *node.office.borrow_mut() = None;
-    slog::info!(node.log, "office_left"; "fence" => fence, "lost" => lost);
+    *node.leadership.borrow_mut() = None;
+    slog::info!(node.log, "leadership_released"; "fence" => fence, "lost" => lost);
     if !lost {
-        vacate(&driver, tasks).await;
+        release_leadership(&driver, tasks).await;
     }
 }
 
-/// Gives the office up before anything was done in it.
-async fn leave_unused(node: &EntryNode, mut row: OfficeRow, version: u64) {
-    row.vacant = true;
-    let change = records::office_change(&row, version, None);
+/// Rows that can't be read are jobs that nobody will run: an operator has to know.
+fn log_unreadable(node: &EntryNode, set: &RecordSet) {
+    if !set.unreadable.is_empty() {
+        slog::error!(node.log, "records_unreadable"; "rows" => set.unreadable.join(","));
+    }
+}
+
+/// Gives the leadership up before anything was done in it.
+async fn leave_unused(node: &EntryNode, mut row: LeaderRow, version: u64) {
+    row.released = true;
+    let change = records::leader_change(&row, version, None);
     let outcome = node.store.change(&change, BATCH_TIMEOUT).await;
-    node.note_store("leave_office", &outcome);
+    node.note_store("release_leadership", &outcome);
 }
 
-/// Leaves the office so that another may take it at once.
-async fn vacate(driver: &OfficeDriver, mut tasks: task::JoinSet<()>) {
+/// Releases the leadership so that another may take it at once.
+async fn release_leadership(driver: &LeaderDriver, mut tasks: task::JoinSet<()>) {
     let deadline = tokio::time::Instant::now() + BATCH_TIMEOUT;
     while driver.committing.get() && tokio::time::Instant::now() < deadline {
         tokio::time::sleep(time::Duration::from_millis(2)).await;
@@ -158,13 +168,13 @@
     tasks.abort_all();
     let mut row = driver.row.borrow().clone();
     row.batch += 1;
-    row.vacant = true;
-    let change = records::office_change(&row, driver.version.get(), None);
+    row.released = true;
+    let change = records::leader_change(&row, driver.version.get(), None);
     let outcome = driver.node.store.change(&change, BATCH_TIMEOUT).await;
-    driver.node.note_store("leave_office", &outcome);
+    driver.node.note_store("release_leadership", &outcome);
 }
 
-fn perform(driver: &rc::Rc<OfficeDriver>, tasks: &mut task::JoinSet<()>, effect: Effect) {
+fn perform(driver: &rc::Rc<LeaderDriver>, tasks: &mut task::JoinSet<()>, effect: Effect) {
     let node = &driver.node;
     match effect {
         Effect::Log(decision) => log_decision(&node.log, &decision),
@@ -230,22 +240,22 @@
                 });
             });
         }
-        Effect::Look {
+        Effect::Poll {
             target,
             deadline_ms,
-            noted,
+            acked,
             wait_ms,
         } => {
-            node.gauges.looks_made.increment();
+            node.gauges.polls_sent.increment();
             let driver = driver.clone();
             tasks.spawn_local(async move {
-                let look = driver.workers.look(&target, deadline_ms, noted, wait_ms);
-                let answer = look.await;
-                if !matches!(answer, LookAnswer::Lists { .. }) {
-                    driver.node.gauges.looks_failed.increment();
+                let poll = driver.workers.poll(&target, deadline_ms, acked, wait_ms);
+                let answer = poll.await;
+                if !matches!(answer, PollAnswer::Lists { .. }) {
+                    driver.node.gauges.polls_failed.increment();
                     driver.workers.forget(target.address);
                 }
-                driver.tell(Event::Looked {
+                driver.tell(Event::Polled {
                     worker: target.worker,
                     deadline_ms,
                     answer,
@@ -264,15 +274,15 @@
     }
 }
 
-impl OfficeDriver {
+impl LeaderDriver {
     fn tell(&self, event: Event) {
-        // The receiver is gone only when the office has just been left.
+        // The receiver is gone only when the leadership has just been released.
         let _sent = self.events.send(event);
     }
 }
 
-/// Records a batch; tries until its outcome is known or the office is lost.
-async fn record(driver: rc::Rc<OfficeDriver>, batch: CommitBatch) {
+/// Records a batch; tries until its outcome is known or the leadership is lost.
+async fn record(driver: rc::Rc<LeaderDriver>, batch: CommitBatch) {
     let node = &driver.node;
     let row = {
         let mut row = driver.row.borrow_mut();
@@ -281,7 +291,7 @@
     };
     let sent_at = node.now();
     loop {
-        let change = records::office_change(&row, driver.version.get(), Some(&batch));
+        let change = records::leader_change(&row, driver.version.get(), Some(&batch));
         let outcome = node.store.change(&change, BATCH_TIMEOUT).await;
         node.note_store("record", &outcome);
         match outcome {
@@ -289,14 +299,14 @@
                 driver.version.set(version);
                 break;
             }
-            Ok(ChangeOutcome::Conflict(rows)) => match office::read_conflict(&rows, &row) {
+            Ok(ChangeOutcome::Conflict(rows)) => match election::read_conflict(&rows, &row) {
                 ConflictMeaning::Recorded(version) => {
                     driver.version.set(version);
                     break;
                 }
                 ConflictMeaning::Behind(version) => driver.version.set(version),
                 ConflictMeaning::Lost => {
-                    slog::warn!(node.log, "office_lost"; "fence" => row.fence,
+                    slog::warn!(node.log, "leadership_lost"; "fence" => row.fence,
                         "batch" => batch.number);
                     driver.lost.set(true);
                     node.stop_signal.notify_waiters();
@@ -321,11 +331,11 @@
     }
 }
 
-/// Finds out whether the predecessor's process has ended, or had left the office itself.
-async fn watch_predecessor(driver: rc::Rc<OfficeDriver>, before: OfficeRow) {
+/// Finds out whether the predecessor's process has ended, or had released the leadership itself.
+async fn watch_predecessor(driver: rc::Rc<LeaderDriver>, before: LeaderRow) {
     let until = tokio::time::Instant::now() + PREDECESSOR_WATCH;
     let own = before.incarnation == driver.node.incarnation;
-    let mut ended = before.vacant || own;
+    let mut ended = before.released || own;
     while !ended && tokio::time::Instant::now() < until {
         ended = peer::has_ended(before.address, before.incarnation).await;
         if !ended {
@@ -339,33 +349,26 @@
 }
 
 /// Reads the platform's list of workers again and again.
-async fn list_workers(driver: rc::Rc<OfficeDriver>) {
+async fn list_workers(driver: rc::Rc<LeaderDriver>) {
     let node = &driver.node;
-    let place = RowPlace {
-        table: store::WORKER_TABLE,
-        part: String::new(),
-        key: String::new(),
-    };
+    let mut unreadable: Vec<String> = Vec::new();
     let mut known: Vec<WorkerReport> = Vec::new();
     let mut failed_at: Option<tokio::time::Instant> = None;
     loop {
-        let mut rows = Vec::new();
-        let mut next = place.clone();
-        let complete = loop {
-            let read = node.store.read(&next, None, records::READ_TIMEOUT).await;
-            node.note_store("list_workers", &read);
-            let Ok(page) = read else {
-                break false;
-            };
-            let last = page.rows.last().map(|row| row.key.clone());
-            rows.extend(page.rows);
-            match last {
-                Some(last) if page.more => next.key = format!("{last}\u{1}"),
-                _ => break true,
+        let read = node
+            .store
+            .read_part(store::WORKER_TABLE, "", records::READ_TIMEOUT)
+            .await;
+        node.note_store("list_workers", &read);
+        if let Ok(page) = read {
+            let WorkerList {
+                mut reports,
+                unreadable: unread,
+            } = discovery::worker_list(&page.rows);
+            if unread != unreadable {
+                slog::warn!(node.log, "workers_unreadable"; "rows" => unread.join(","));
+                unreadable = unread;
             }
-        };
-        if complete {
-            let mut reports = discovery::worker_reports(&rows);
             let graced = failed_at.is_some_and(|at| at.elapsed() < LIST_GRACE);
             if graced {
                 // Entries that lapsed while the store was away come back soon.
@@ -388,7 +391,7 @@
 }
 
 /// Follows the table of accepted jobs.
-async fn follow_jobs(driver: rc::Rc<OfficeDriver>, from: u64) {
+async fn follow_jobs(driver: rc::Rc<LeaderDriver>, from: u64) {
     let node = &driver.node;
     let mut version = from;
     loop {
@@ -400,11 +403,12 @@
         match fed {
             Ok(FeedOutcome::Changes(page)) => {
                 version = version.max(page.version);
-                for row in page.rows.iter().filter_map(records::job_row) {
-                    driver.tell(match row {
-                        JobRow::Accepted(record) => Event::Stored(record),
-                        JobRow::Cancelled(id) => Event::Cancelled(id),
-                    });
+                for row in page.rows.iter().filter(|row| !row.dropped) {
+                    match records::job_row(row) {
+                        Some(JobRow::Accepted(record)) => driver.tell(Event::Stored(record)),
+                        Some(JobRow::Cancelled(id)) => driver.tell(Event::Cancelled(id)),
+                        None => slog::error!(node.log, "records_unreadable"; "rows" => &row.key),
+                    }
                 }
             }
             Ok(FeedOutcome::Forgotten) => {
@@ -412,11 +416,13 @@
                     "version" => version);
                 let read = records::read_all(&node.store).await;
                 node.note_store("read_records", &read);
-                let Ok((jobs, at)) = read else {
+                let Ok(set) = read else {
                     tokio::time::sleep(STORE_RETRY).await;
                     continue;
                 };
-                version = at;
+                log_unreadable(node, &set);
+                version = set.version;
+                let jobs = set.records;
                 for record in jobs.jobs {
                     driver.tell(Event::Stored(record));
                 }
--- a/sapphirewalk/src/entry/office.rs
+++ b/sapphirewalk/src/entry/election.rs
@@ -1,5 +1,6 @@
-//! Who coordinates: one process at a time holds the office's row in the store.
+//! Leader election: one process at a time holds the leader's row in the store.
 
+use std::hash::Hasher;
 use std::rc;
 use std::time;
 
@@ -12,34 +13,34 @@
 use crate::entry::peer;
 use crate::entry::peer::LinkEnd;
 use crate::entry::records;
-use crate::entry::records::OfficeRow;
+use crate::entry::records::LeaderRow;
 
 /// Time before the store is asked again.
 const RETRY_DELAY: time::Duration = time::Duration::from_millis(150);
 /// A coordinator whose row has not changed for this long while it doesn't answer has lost the
-/// office: it renews the row every 400 ms.
-const DOUBT_SPAN: time::Duration = time::Duration::from_millis(700);
-/// Time for reading the office's row.
+/// leadership: it renews the row every 400 ms.
+const SUSPICION_SPAN: time::Duration = time::Duration::from_millis(700);
+/// Time for reading the leader's row.
 const ROW_TIMEOUT: time::Duration = time::Duration::from_millis(800);
-/// Time for taking the office.
+/// Time for taking the leadership.
 const TAKE_TIMEOUT: time::Duration = time::Duration::from_millis(1_000);
-/// Time before the office's row is read again while its holder takes or leaves the office.
+/// Time before the leader's row is read again while its holder takes or releases the leadership.
 const SETTLE_DELAY: time::Duration = time::Duration::from_millis(30);
-/// VMs stand in line for the office in this many places.
-const LINE_PLACES: u64 = 8;
+/// Candidates wait for a slot by their name, so that one of them is ahead of the others.
+const DELAY_SLOTS: u64 = 8;
 /// Time between two places in the line: several store calls.
-const LINE_DELAY: time::Duration = time::Duration::from_millis(35);
+const SLOT_DELAY: time::Duration = time::Duration::from_millis(35);
 /// A VM with the whole of a core stands this much ahead of one with a tenth.
 const SHARE_DELAY_MS: f64 = 6.0;
 
-/// The office's row as it was read.
+/// The leader's row as it was read.
 #[derive(Clone, Debug)]
-struct OfficeView {
-    row: OfficeRow,
+struct LeaderView {
+    row: LeaderRow,
     version: u64,
 }
 
-/// Follows the coordinator in office, and takes the office when it is vacant.
+/// Follows the leader, and takes the leadership when it is released.
 pub async fn run(node: rc::Rc<EntryNode>) {
     while !node.stopping.get() {
         let Ok(view) = read_view(&node).await else {
@@ -48,18 +49,18 @@
         };
         match view {
             None => contend(&node, None).await,
-            Some(view) if view.row.vacant || view.row.incarnation == node.incarnation => {
+            Some(view) if view.row.released || view.row.incarnation == node.incarnation => {
                 contend(&node, Some(view)).await;
             }
-            Some(view) => doubt(&node, view).await,
+            Some(view) => verify_leader(&node, view).await,
         }
     }
 }
 
 /// Follows a coordinator until there is reason to doubt it, then finds out.
-async fn doubt(node: &rc::Rc<EntryNode>, view: OfficeView) {
+async fn verify_leader(node: &rc::Rc<EntryNode>, view: LeaderView) {
     let end = peer::follow(node, view.row.address).await;
-    slog::info!(node.log, "office_doubted"; "holder" => &view.row.vm, "fence" => view.row.fence,
+    slog::info!(node.log, "leader_suspected"; "holder" => &view.row.vm, "fence" => view.row.fence,
         "cause" => ?end);
     match judge(end, view.row.incarnation) {
         HolderVerdict::Gone => {
@@ -70,12 +71,12 @@
                 contend(node, Some(now)).await;
             }
         }
-        HolderVerdict::Doubtful => {
+        HolderVerdict::Suspected => {
             let Ok(Some(before)) = read_view(node).await else {
                 tokio::time::sleep(RETRY_DELAY).await;
                 return;
             };
-            tokio::time::sleep(DOUBT_SPAN).await;
+            tokio::time::sleep(SUSPICION_SPAN).await;
             let Ok(Some(after)) = read_view(node).await else {
                 return;
             };
@@ -87,53 +88,53 @@
     }
 }
 
-/// What the end of a connection says of the process in office.
+/// What the end of a connection says of the leading process.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum HolderVerdict {
     /// It has ended.
     Gone,
     /// It may have lost the store, or only the way here.
-    Doubtful,
-    /// It is taking the office, or leaving it: the row will tell.
+    Suspected,
+    /// It is taking the leadership, or releasing it: the row will tell.
     Settling,
 }
 
-/// Judges the process in office, of the life that the office's row names.
+/// Judges the leading process, of the incarnation that the leader's row names.
 pub const fn judge(end: LinkEnd, incarnation: u64) -> HolderVerdict {
     match end {
         LinkEnd::Refused => HolderVerdict::Gone,
         LinkEnd::Absent(other) if other != incarnation => HolderVerdict::Gone,
         // A process that has ended refuses the next connection.
         LinkEnd::Absent(_) | LinkEnd::Broken => HolderVerdict::Settling,
-        LinkEnd::Silent | LinkEnd::Stale => HolderVerdict::Doubtful,
+        LinkEnd::Silent | LinkEnd::Stale => HolderVerdict::Suspected,
     }
 }
 
-/// Tries to take the office, and coordinates while it is held.
-async fn contend(node: &rc::Rc<EntryNode>, view: Option<OfficeView>) {
-    tokio::time::sleep(line_delay(node)).await;
+/// Tries to take the leadership, and coordinates while it is held.
+async fn contend(node: &rc::Rc<EntryNode>, view: Option<LeaderView>) {
+    tokio::time::sleep(election_delay(node)).await;
     if node.stopping.get() {
         return;
     }
     let (fence, version) = view
         .as_ref()
         .map_or((1, 0), |view| (view.row.fence + 1, view.version));
-    let row = OfficeRow {
+    let row = LeaderRow {
         vm: node.settings.vm.clone(),
         incarnation: node.incarnation,
         fence,
         address: node.settings.peer_address,
         batch: 0,
-        vacant: false,
+        released: false,
     };
     let asked_at = node.now();
-    let change = records::office_change(&row, version, None);
+    let change = records::leader_change(&row, version, None);
     let outcome = node.store.change(&change, TAKE_TIMEOUT).await;
-    node.note_store("take_office", &outcome);
+    node.note_store("acquire_leadership", &outcome);
     match outcome {
         Ok(ChangeOutcome::Done(version)) => {
-            slog::info!(node.log, "office_won"; "fence" => fence, "version" => version);
-            node.gauges.offices_taken.increment();
+            slog::info!(node.log, "leadership_acquired"; "fence" => fence, "version" => version);
+            node.gauges.leaderships_started.increment();
             let before = view.map(|view| view.row);
             driver::coordinate(node, row, version, asked_at, before).await;
         }
@@ -143,46 +144,44 @@
 }
 
 /// How long this VM lets others go first: by its name, and by its share of a core.
-fn line_delay(node: &EntryNode) -> time::Duration {
-    let mut hash = 0xcbf2_9ce4_8422_2325u64;
-    for byte in node.settings.vm.bytes() {
-        hash = (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
-    }
-    let place = u32::try_from((hash >> 32) % LINE_PLACES).unwrap_or(0);
+fn election_delay(node: &EntryNode) -> time::Duration {
+    let mut hasher = fnv::FnvHasher::default();
+    hasher.write(node.settings.vm.as_bytes());
+    let slot = u32::try_from((hasher.finish() >> 32) % DELAY_SLOTS).unwrap_or(0);
     let share = SHARE_DELAY_MS / node.settings.cpu_share.clamp(0.01, 1.0);
-    LINE_DELAY * place + time::Duration::from_millis(share as u64)
+    SLOT_DELAY * slot + time::Duration::from_millis(share as u64)
 }
 
-async fn read_view(node: &EntryNode) -> Result<Option<OfficeView>, StoreError> {
+async fn read_view(node: &EntryNode) -> Result<Option<LeaderView>, StoreError> {
     let read = node
         .store
-        .read_row(&records::office_place(), ROW_TIMEOUT)
+        .read_row(&records::leader_place(), ROW_TIMEOUT)
         .await;
-    node.note_store("read_office", &read);
-    Ok(read?.as_ref().and_then(office_view))
+    node.note_store("read_leader", &read);
+    Ok(read?.as_ref().and_then(leader_view))
 }
 
-fn office_view(row: &StoredRow) -> Option<OfficeView> {
-    Some(OfficeView {
+fn leader_view(row: &StoredRow) -> Option<LeaderView> {
+    Some(LeaderView {
         row: records::decode(&row.value)?,
         version: row.version,
     })
 }
 
-/// What a conflict on the office's row means for the one in office.
+/// What a conflict on the leader's row means for the leader.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ConflictMeaning {
     /// The batch had been recorded, at this version; only its answer was lost.
     Recorded(u64),
-    /// An earlier batch of this office was recorded at this version: send it again on top.
+    /// An earlier batch of this leadership was recorded at this version: send it again on top.
     Behind(u64),
-    /// Another process is in office.
+    /// Another process leads.
     Lost,
 }
 
 /// Tells what a conflict means, from the row that stood in the way.
-pub fn read_conflict(rows: &[StoredRow], own: &OfficeRow) -> ConflictMeaning {
-    let Some(view) = rows.iter().find_map(office_view) else {
+pub fn read_conflict(rows: &[StoredRow], own: &LeaderRow) -> ConflictMeaning {
+    let Some(view) = rows.iter().find_map(leader_view) else {
         return ConflictMeaning::Lost;
     };
     let same = view.row.incarnation == own.incarnation && view.row.fence == own.fence;
--- a/sapphirewalk/src/entry/gauge.rs
+++ b/sapphirewalk/src/entry/gauge.rs
@@ -64,25 +64,25 @@
         starts_failed,
         /// Stops ordered.
         stops_ordered,
-        /// Looks at workers.
-        looks_made,
-        /// Looks without an answer.
-        looks_failed,
+        /// Polls at workers.
+        polls_sent,
+        /// Polls without an answer.
+        polls_failed,
         /// Changes of pace ordered.
         paces_ordered,
-        /// Times that this process took office.
-        offices_taken,
+        /// Times that this process took the leadership.
+        leaderships_started,
     }
     latencies {
         /// From a job's arrival to its answer.
         accept_ms,
-        /// From sending a batch to having it on record.
+        /// From sending a batch to its commit.
         record_ms,
         /// From ordering a start to its answer.
         start_ms,
         /// From a question about a state to its answer.
         state_ms,
-        /// From taking office to the first decision.
+        /// From taking the leadership to the first decision.
         takeover_ms,
     }
 }
--- a/sapphirewalk/src/entry/log.rs
+++ b/sapphirewalk/src/entry/log.rs
@@ -18,7 +18,7 @@
 const BUFFER_BYTES: usize = 1_048_576;
 /// Events that explain a failed request first begin so; they may use the whole buffer, others half.
 const ESSENTIAL_EVENTS: [&str; 6] = [
-    "cancel_", "job_", "office_", "process_", "request_", "store_",
+    "cancel_", "job_", "leader", "process_", "request_", "store_",
 ];
 /// A pipe that is ready takes this much without blocking.
 const PIECE_BYTES: usize = 4_096;
--- a/sapphirewalk/src/entry/mod.rs
+++ b/sapphirewalk/src/entry/mod.rs
@@ -3,10 +3,10 @@
 
 mod callers;
 mod driver;
+mod election;
 mod gauge;
 mod log;
 mod node;
-mod office;
 mod peer;
 mod records;
 mod rules;
@@ -45,7 +45,7 @@
 const BALANCER_SPAN: time::Duration = time::Duration::from_millis(2_300);
 /// Kept of the time to stop for the end of the process itself.
 const STOP_MARGIN: time::Duration = time::Duration::from_millis(700);
-/// Time between looks whether the last connection has ended.
+/// Time between checks whether the last connection has ended.
 const DRAIN_POLL: time::Duration = time::Duration::from_millis(20);
 
 /// Runs the command `entry`.
@@ -117,7 +117,7 @@
     task::spawn_local(serve_text(node.clone(), ready, ready_answer));
     task::spawn_local(serve_text(node.clone(), metrics, metrics_answer));
     task::spawn_local(callers::serve(node.clone(), callers, closing.clone()));
-    let office = task::spawn_local(office::run(node.clone()));
+    let leader = task::spawn_local(election::run(node.clone()));
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
@@ -125,15 +125,15 @@
             _ = reload.recv() => check_reload(&node, path),
         }
     }
-    stop(&node, &closing, office).await;
+    stop(&node, &closing, leader).await;
     slog::info!(node.log, "process_stopped"; "open_connections" => closing.open_connections());
     Ok(())
 }
 
-/// Leaves the office, lets the balancer go elsewhere, and ends when the last request has.
-async fn stop(node: &EntryNode, closing: &ClosingFlag, office: task::JoinHandle<()>) {
+/// Releases the leadership, lets the balancer go elsewhere, and ends when the last request has.
+async fn stop(node: &EntryNode, closing: &ClosingFlag, leader: task::JoinHandle<()>) {
     slog::info!(node.log, "shutdown_begun"; "open_connections" => closing.open_connections(),
-        "in_office" => node.own_office().is_some());
+        "leader" => node.own_leadership().is_some());
     let began = tokio::time::Instant::now();
     let grace = time::Duration::from_secs_f64(node.settings.bounds.stop_grace_s);
     let end = began + grace.saturating_sub(STOP_MARGIN);
@@ -144,8 +144,8 @@
     while closing.open_connections() > 0 && tokio::time::Instant::now() < end {
         tokio::time::sleep(DRAIN_POLL).await;
     }
-    // The office was left long ago unless the store doesn't answer.
-    office.abort();
+    // The leadership was released long ago unless the store doesn't answer.
+    leader.abort();
 }
 
 /// Reads the settings again; addresses and names only change with a restart.
--- a/sapphirewalk/src/entry/node.rs
+++ b/sapphirewalk/src/entry/node.rs
@@ -22,9 +22,9 @@
 /// A store that has not answered for this long counts as out of reach: over a slow answer.
 const STORE_SILENCE: TimeSpan = TimeSpan::from_millis(900);
 
-/// The coordinator of this process, while it is in office.
+/// The coordinator of this process, while it leads.
 #[derive(Clone, Debug)]
-pub struct OfficeHandle {
+pub struct LeaderHandle {
     /// Its fencing token.
     pub fence: u64,
     /// The decisions.
@@ -39,7 +39,7 @@
     pub settings: EntrySettings,
     /// The clock.
     pub clock: ProcessClock,
-    /// Tells this life of the process from others.
+    /// Tells this incarnation of the process from others.
     pub incarnation: u64,
     /// The log.
     pub log: slog::Logger,
@@ -51,9 +51,9 @@
     pub rules: cell::RefCell<rc::Rc<WorkRules>>,
     /// Signals a change of the rules.
     pub rules_changed: Notify,
-    /// Set while this process is in office.
-    pub office: cell::RefCell<Option<OfficeHandle>>,
-    /// The connection to the coordinator in office elsewhere.
+    /// Set while this process leads.
+    pub leadership: cell::RefCell<Option<LeaderHandle>>,
+    /// The connection to the leader elsewhere.
     pub link: cell::RefCell<Option<rc::Rc<PeerLink>>>,
     /// The process shuts down.
     pub stopping: cell::Cell<bool>,
@@ -78,7 +78,7 @@
             gauges: EntryGauges::default(),
             rules: cell::RefCell::default(),
             rules_changed: Notify::new(),
-            office: cell::RefCell::new(None),
+            leadership: cell::RefCell::new(None),
             link: cell::RefCell::new(None),
             stopping: cell::Cell::new(false),
             stop_signal: Notify::new(),
@@ -97,12 +97,12 @@
         self.rules.borrow().clone()
     }
 
-    /// The coordinator of this process, while it is in office.
-    pub fn own_office(&self) -> Option<OfficeHandle> {
-        self.office.borrow().clone()
+    /// The coordinator of this process, while it leads.
+    pub fn own_leadership(&self) -> Option<LeaderHandle> {
+        self.leadership.borrow().clone()
     }
 
-    /// The connection to the coordinator in office elsewhere.
+    /// The connection to the leader elsewhere.
     pub fn peer_link(&self) -> Option<rc::Rc<PeerLink>> {
         self.link.borrow().clone()
     }
--- a/sapphirewalk/src/entry/peer.rs
+++ b/sapphirewalk/src/entry/peer.rs
@@ -1,4 +1,4 @@
-//! Questions from entry VMs to the one in office, over one TCP connection each.
+//! Questions from entry VMs to the leader, over one TCP connection each.
 
 use std::cell;
 use std::collections;
@@ -28,18 +28,18 @@
 use tokio_util::codec::LengthDelimitedCodec;
 
 use crate::entry::node::EntryNode;
-use crate::entry::node::OfficeHandle;
+use crate::entry::node::LeaderHandle;
 
-/// Time between beats of the coordinator in office.
+/// Time between beats of the leader.
 pub const BEAT_INTERVAL: time::Duration = time::Duration::from_millis(300);
 /// A connection on which nothing came for this long is dead: four beats.
 pub const BEAT_SILENCE: time::Duration = time::Duration::from_millis(1_200);
 /// Time for a connection to be made.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(400);
-/// Time for an answer from the coordinator in office: a few link delays.
+/// Time for an answer from the leader: a few link delays.
 const ASK_TIMEOUT: time::Duration = time::Duration::from_millis(350);
 
-/// From a peer to the one in office.
+/// From a peer to the leader.
 #[derive(Debug, Deserialize, Serialize)]
 enum PeerRequest {
     /// How does the job stand?
@@ -58,7 +58,7 @@
     Cancelled { id: JobId },
 }
 
-/// From the one in office to a peer.
+/// From the leader to a peer.
 #[derive(Debug, Deserialize, Serialize)]
 enum PeerMessage {
     /// The job stands so; none for a job that isn't known.
@@ -68,17 +68,17 @@
     },
     /// So many jobs of the queue wait.
     Pending { number: u64, pending: usize },
-    /// Still in office.
+    /// Still leading.
     Beat {
         fence: u64,
-        /// Time since the last batch went on record.
-        recorded_ago: TimeSpan,
+        /// Time since the last batch was committed.
+        committed_ago: TimeSpan,
     },
-    /// This life of the process is not in office.
+    /// This incarnation of the process is not leading.
     Absent { incarnation: u64 },
 }
 
-/// A connection to the coordinator in office.
+/// A connection to the leader.
 #[derive(Debug)]
 pub struct PeerLink {
     sender: mpsc::UnboundedSender<PeerRequest>,
@@ -92,12 +92,12 @@
     pending: collections::BTreeMap<u64, oneshot::Sender<usize>>,
 }
 
-/// Why a connection to the coordinator in office ended.
+/// Why a connection to the leader ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum LinkEnd {
     /// The VM refuses connections: its process is gone.
     Refused,
-    /// The process there, in this life, is not in office.
+    /// The process there, in this incarnation, is not leading.
     Absent(u64),
     /// It doesn't answer.
     Silent,
@@ -173,7 +173,7 @@
     }
 }
 
-/// Serves peers for as long as the process lives.
+/// Serves peers for as long as the process runs.
 pub async fn serve(node: rc::Rc<EntryNode>, listener: TcpListener) {
     loop {
         match listener.accept().await {
@@ -195,7 +195,7 @@
     let mut framed = Framed::new(stream, LengthDelimitedCodec::new());
     let mut beat = tokio::time::interval(BEAT_INTERVAL);
     loop {
-        let Some(office) = node.own_office() else {
+        let Some(leader) = node.own_leadership() else {
             let absent = PeerMessage::Absent {
                 incarnation: node.incarnation,
             };
@@ -204,14 +204,14 @@
         };
         let message = tokio::select! {
             frame = framed.next() => match frame {
-                Some(Ok(frame)) => answer(&office, &frame),
+                Some(Ok(frame)) => answer(&leader, &frame),
                 Some(Err(_)) | None => return,
             },
             _ = beat.tick() => {
-                let coordinator = office.coordinator.borrow();
+                let coordinator = leader.coordinator.borrow();
                 Some(PeerMessage::Beat {
-                    fence: office.fence,
-                    recorded_ago: node.now().since(coordinator.recorded_at()),
+                    fence: leader.fence,
+                    committed_ago: node.now().since(coordinator.committed_at()),
                 })
             }
         };
@@ -226,15 +226,15 @@
     }
 }
 
-fn answer(office: &OfficeHandle, frame: &BytesMut) -> Option<PeerMessage> {
+fn answer(leader: &LeaderHandle, frame: &BytesMut) -> Option<PeerMessage> {
     match postcard::from_bytes::<PeerRequest>(frame) {
         Ok(PeerRequest::State { number, id }) => Some(PeerMessage::State {
             number,
-            state: office.coordinator.borrow().shown_state(id),
+            state: leader.coordinator.borrow().shown_state(id),
         }),
         Ok(PeerRequest::Pending { number, queue }) => Some(PeerMessage::Pending {
             number,
-            pending: office.coordinator.borrow().pending_jobs(&queue),
+            pending: leader.coordinator.borrow().pending_jobs(&queue),
         }),
         Ok(PeerRequest::Stored {
             id,
@@ -250,19 +250,19 @@
                 spec,
                 accepted_at,
             };
-            // The receiver is gone only when the office has just been left.
-            let _sent = office.events.send(Event::Stored(record));
+            // The receiver is gone only when the leadership has just been released.
+            let _sent = leader.events.send(Event::Stored(record));
             None
         }
         Ok(PeerRequest::Cancelled { id }) => {
-            let _sent = office.events.send(Event::Cancelled(id));
+            let _sent = leader.events.send(Event::Cancelled(id));
             None
         }
         Err(_unreadable) => None,
     }
 }
 
-/// Whether another life of a process answers at an address: the one of that incarnation has ended.
+/// Whether another incarnation of a process answers at an address, so that the given one has ended.
 pub async fn has_ended(address: net::SocketAddr, incarnation: u64) -> bool {
     let connecting = TcpStream::connect(address);
     let Ok(Ok(stream)) = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await else {
@@ -278,7 +278,7 @@
     }
 }
 
-/// Keeps a connection to the coordinator in office; returns when it has to be doubted.
+/// Keeps a connection to the leader; returns when it has to be suspected.
 pub async fn follow(node: &EntryNode, address: net::SocketAddr) -> LinkEnd {
     let connecting = TcpStream::connect(address);
     let stream = match tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
@@ -335,8 +335,8 @@
             }
             None
         }
-        Ok(PeerMessage::Beat { recorded_ago, .. }) => {
-            (recorded_ago > STALE_LIMIT).then_some(LinkEnd::Stale)
+        Ok(PeerMessage::Beat { committed_ago, .. }) => {
+            (committed_ago > STALE_LIMIT).then_some(LinkEnd::Stale)
         }
         Ok(PeerMessage::Absent { incarnation }) => Some(LinkEnd::Absent(incarnation)),
         Err(_unreadable) => Some(LinkEnd::Broken),
--- a/sapphirewalk/src/entry/records.rs
+++ b/sapphirewalk/src/entry/records.rs
@@ -1,4 +1,4 @@
-//! What the store keeps: accepted jobs, their progress, and who is in office.
+//! What the store keeps: accepted jobs, their progress, and who leads.
 
 use std::net;
 use std::time;
@@ -11,7 +11,6 @@
 use sapphirewalk_core::job_spec::JobSpec;
 use sapphirewalk_core::time::TimePoint;
 use sapphirewalk_platform::store::RowChange;
-use sapphirewalk_platform::store::RowPage;
 use sapphirewalk_platform::store::RowPlace;
 use sapphirewalk_platform::store::StoreClient;
 use sapphirewalk_platform::store::StoreError;
@@ -24,12 +23,12 @@
 pub const JOB_TABLE: &str = "jobs";
 /// How far jobs have come.
 const PROGRESS_TABLE: &str = "progress";
-/// Who is in office.
-const OFFICE_TABLE: &str = "office";
-/// The part whose rows change together with the office's row.
-const OFFICE_PART: &str = "office";
-/// The row that names who is in office.
-const OFFICE_KEY: &str = "coordinator";
+/// Who leads.
+const LEADER_TABLE: &str = "leader";
+/// The part whose rows change together with the leader's row.
+const LEADER_PART: &str = "leader";
+/// The row that names who leads.
+const LEADER_KEY: &str = "coordinator";
 /// The row that hands on what has been learned of images.
 const LEARNED_KEY: &str = "learned";
 /// Parts over which accepted jobs are spread: one takes 200 transactions a second, and the larger
@@ -42,13 +41,13 @@
 /// Time for a read at start-up: the store answers in 4 ms, up to 60 times as slowly on bad days.
 pub const READ_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
 
-/// Who is in office.
+/// Who leads.
 #[derive(Clone, Debug, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
-pub struct OfficeRow {
+pub struct LeaderRow {
     /// The VM's name.
     pub vm: String,
-    /// Tells one life of its process from another.
+    /// Tells one incarnation of its process from another.
     pub incarnation: u64,
     /// The fencing token.
     pub fence: u64,
@@ -56,8 +55,8 @@
     pub address: net::SocketAddr,
     /// The last batch that it recorded.
     pub batch: u64,
-    /// It has left the office; anybody may take it.
-    pub vacant: bool,
+    /// It has released the leadership; anybody may take it.
+    pub released: bool,
 }
 
 /// An accepted job as it is kept.
@@ -78,19 +77,30 @@
     Cancelled(JobId),
 }
 
-/// Where the office's row is.
-pub fn office_place() -> RowPlace {
+/// What was read of jobs.
+#[derive(Debug, Default)]
+pub struct RecordSet {
+    /// The jobs.
+    pub records: JobRecords,
+    /// The version from which to follow the table of jobs.
+    pub version: u64,
+    /// Keys of rows that this version of the program can't read.
+    pub unreadable: Vec<String>,
+}
+
+/// Where the leader's row is.
+pub fn leader_place() -> RowPlace {
     RowPlace {
-        table: OFFICE_TABLE,
-        part: OFFICE_PART.to_owned(),
-        key: OFFICE_KEY.to_owned(),
+        table: LEADER_TABLE,
+        part: LEADER_PART.to_owned(),
+        key: LEADER_KEY.to_owned(),
     }
 }
 
 fn learned_place() -> RowPlace {
     RowPlace {
         key: LEARNED_KEY.to_owned(),
-        ..office_place()
+        ..leader_place()
     }
 }
 
@@ -113,7 +123,7 @@
 fn progress_place(id: JobId) -> RowPlace {
     RowPlace {
         table: PROGRESS_TABLE,
-        part: OFFICE_PART.to_owned(),
+        part: LEADER_PART.to_owned(),
         key: id.to_string(),
     }
 }
@@ -160,11 +170,11 @@
     }
 }
 
-/// The change that takes or renews the office and records a batch.
-pub fn office_change(row: &OfficeRow, version: u64, batch: Option<&CommitBatch>) -> RowChange {
+/// The change that takes or renews the leadership and records a batch.
+pub fn leader_change(row: &LeaderRow, version: u64, batch: Option<&CommitBatch>) -> RowChange {
     let mut change = RowChange {
-        expected: vec![(office_place(), version)],
-        written: vec![(office_place(), encode(row))],
+        expected: vec![(leader_place(), version)],
+        written: vec![(leader_place(), encode(row))],
         removed: Vec::new(),
     };
     if let Some(batch) = batch {
@@ -237,59 +247,39 @@
 /// # Errors
 ///
 /// When the store doesn't answer or refuses.
-pub async fn read_all(store: &StoreClient) -> Result<(JobRecords, u64), StoreError> {
-    let mut records = JobRecords::default();
-    let mut version = u64::MAX;
+pub async fn read_all(store: &StoreClient) -> Result<RecordSet, StoreError> {
+    let mut set = RecordSet {
+        version: u64::MAX,
+        ..RecordSet::default()
+    };
     for part in 0..JOB_PARTS {
-        let first = RowPlace {
-            table: JOB_TABLE,
-            part: part.to_string(),
-            key: String::new(),
-        };
-        let pages = read_pages(store, first, &mut version).await?;
-        for row in pages.iter().filter_map(job_row) {
-            match row {
-                JobRow::Accepted(record) => records.jobs.push(record),
-                JobRow::Cancelled(id) => records.cancelled.push(id),
+        let page = store
+            .read_part(JOB_TABLE, &part.to_string(), READ_TIMEOUT)
+            .await?;
+        set.version = set.version.min(page.version);
+        for row in &page.rows {
+            match job_row(row) {
+                Some(JobRow::Accepted(record)) => set.records.jobs.push(record),
+                Some(JobRow::Cancelled(id)) => set.records.cancelled.push(id),
+                None => set.unreadable.push(row.key.clone()),
             }
         }
     }
-    let first = RowPlace {
-        table: PROGRESS_TABLE,
-        part: OFFICE_PART.to_owned(),
-        key: String::new(),
-    };
-    let mut later = u64::MAX;
-    let pages = read_pages(store, first, &mut later).await?;
-    let progress = pages.iter().filter_map(|row| decode(&row.value));
-    records.progress = progress.collect();
+    let page = store
+        .read_part(PROGRESS_TABLE, LEADER_PART, READ_TIMEOUT)
+        .await?;
+    for row in &page.rows {
+        match decode(&row.value) {
+            Some(progress) => set.records.progress.push(progress),
+            None => set.unreadable.push(row.key.clone()),
+        }
+    }
     let learned = store.read_row(&learned_place(), READ_TIMEOUT).await?;
-    records.learned = learned
-        .and_then(|row| decode(&row.value))
-        .unwrap_or_default();
-    Ok((records, version))
-}
-
-async fn read_pages(
-    store: &StoreClient,
-    first: RowPlace,
-    version: &mut u64,
-) -> Result<Vec<StoredRow>, StoreError> {
-    let mut rows = Vec::new();
-    let mut place = first;
-    loop {
-        let RowPage {
-            rows: page,
-            more,
-            version: at,
-        } = store.read(&place, None, READ_TIMEOUT).await?;
-        *version = (*version).min(at);
-        let last = page.last().map(|row| row.key.clone());
-        rows.extend(page);
-        match last {
-            // The next key after the last one in byte order.
-            Some(last) if more => place.key = format!("{last}\u{1}"),
-            _ => return Ok(rows),
+    if let Some(row) = learned {
+        match decode(&row.value) {
+            Some(learned) => set.records.learned = learned,
+            None => set.unreadable.push(row.key),
         }
     }
+    Ok(set)
 }
--- a/sapphirewalk/src/entry/rules.rs
+++ b/sapphirewalk/src/entry/rules.rs
@@ -6,7 +6,6 @@
 use sapphirewalk_platform::rules;
 use sapphirewalk_platform::store;
 use sapphirewalk_platform::store::FeedOutcome;
-use sapphirewalk_platform::store::RowPlace;
 
 use crate::entry::node::EntryNode;
 use crate::entry::records;
@@ -17,7 +16,7 @@
 /// Time before a call that failed is made again.
 const RETRY_DELAY: time::Duration = time::Duration::from_millis(120);
 
-/// Follows the operators' table for as long as the process lives.
+/// Follows the operators' table for as long as the process runs.
 pub async fn follow(node: rc::Rc<EntryNode>) {
     let mut version = None;
     loop {
@@ -34,12 +33,10 @@
 
 /// Reads the rules; the version to follow from.
 async fn read(node: &EntryNode) -> Option<Option<u64>> {
-    let place = RowPlace {
-        table: store::OPERATOR_TABLE,
-        part: String::new(),
-        key: String::new(),
-    };
-    let read = node.store.read(&place, None, records::READ_TIMEOUT).await;
+    let read = node
+        .store
+        .read_part(store::OPERATOR_TABLE, "", records::READ_TIMEOUT)
+        .await;
     node.note_store("read_rules", &read);
     let page = read.ok()?;
     for row in page.rows {
--- a/sapphirewalk/src/entry/settings.rs
+++ b/sapphirewalk/src/entry/settings.rs
@@ -28,7 +28,7 @@
     pub metrics_address: net::SocketAddr,
     /// The platform's store.
     pub store_address: net::SocketAddr,
-    /// The VM's share of a core; VMs with a larger one are quicker to take office.
+    /// The VM's share of a core; VMs with a larger one are quicker to take the leadership.
     pub cpu_share: f64,
     /// Bounds that the platform states.
     pub bounds: EntryBounds,
@@ -42,7 +42,7 @@
     pub longest_lease_ms: u64,
     /// How long callers may ask for a job after it ended, in seconds.
     pub retention_s: f64,
-    /// A lasting task may be over its target for this long.
+    /// A service task may be over its target for this long.
     pub harm_tolerance_ms: u64,
     /// From the request to stop until the process is killed, in seconds.
     pub stop_grace_s: f64,
--- a/sapphirewalk/src/explain.rs
+++ b/sapphirewalk/src/explain.rs
@@ -1,4 +1,4 @@
-//! Tells the life of a job from gathered logs of entry VMs.
+//! Tells the history of a job from gathered logs of entry VMs.
 
 use std::fmt;
 use std::fs;
@@ -15,17 +15,17 @@
     "worker_listed",
     "worker_lost",
     "worker_reborn",
-    "worker_shunned",
+    "worker_quarantined",
 ];
 /// Events that bear on every job.
 const COMMON_EVENTS: [&str; 10] = [
     "feed_forgotten",
     "fenced",
     "lines_left_out",
-    "office_doubted",
-    "office_left",
-    "office_lost",
-    "office_taken",
+    "leader_suspected",
+    "leadership_released",
+    "leadership_lost",
+    "leadership_started",
     "rules_in_force",
     "store_lost",
     "store_regained",
@@ -129,11 +129,11 @@
         missing.push("its hand-in: the log of the entry VM that the caller reached");
     }
     if has("job_accepted") && !has("job_known") {
-        missing.push("its coordination: the log of the entry VM in office then");
+        missing.push("its coordination: the log of the entry VM in leader then");
     }
     let over = ["job_completed", "job_failed", "job_cancelled"];
     if has("job_known") && !over.iter().any(|event| has(event)) {
-        missing.push("its end: it had not ended, or another entry VM took office later");
+        missing.push("its end: it had not ended, or another entry VM took leader later");
     }
     missing
 }
--- a/sapphirewalk/tests/entry/office.rs
+++ b/sapphirewalk/tests/entry/election.rs
@@ -12,7 +12,7 @@
     fleet
         .until("jobs run", async |fleet| fleet.running(105) == 2)
         .await;
-    let first = fleet.in_office().expect("one is in office");
+    let first = fleet.leader().expect("one is in leader");
     fleet.entries[first].kill();
     let other = (first + 1) % 3;
     for id in 0..6 {
@@ -20,17 +20,17 @@
         assert_eq!(fleet.starts(100 + id), 4, "job {id}");
     }
     fleet.assert_no_doubles();
-    assert_ne!(fleet.in_office(), Some(first));
+    assert_ne!(fleet.leader(), Some(first));
 }
 
 #[tokio::test(flavor = "multi_thread")]
-async fn a_stopped_coordinator_hands_over_and_loses_no_answer() {
+async fn a_stopped_leader_hands_over() {
     let mut fleet = EntryFleet::start("stopped", 2).await;
     assert_eq!(fleet.submit(0, 200, 1_500, &[3, 2]).await, 200);
     fleet
         .until("the job runs", async |fleet| fleet.running(200) == 3)
         .await;
-    let first = fleet.in_office().expect("one is in office");
+    let first = fleet.leader().expect("one is in leader");
     let status = fleet.entries[first].terminate();
     assert!(status.success());
     assert!(fleet.entries[first].log().contains("event=process_stopped"));
@@ -63,8 +63,8 @@
     assert_eq!(fleet.submit(0, 310, 300, &[1]).await, 200);
     fleet.until_state(0, 310, "completed").await;
     fleet.entries[0].kill();
-    // What is left is what a caller's VM stores before anybody has ever been in office.
-    fleet.store.drop_table("office");
+    // What is left is what a caller's VM stores before anybody has ever been leading.
+    fleet.store.drop_table("leader");
     fleet.store.drop_table("progress");
     for worker in &fleet.workers {
         worker.forget_all();
--- a/sapphirewalk/tests/entry/explain.rs
+++ b/sapphirewalk/tests/entry/explain.rs
@@ -1,4 +1,4 @@
-//! The command that tells the life of a job from logs of real processes.
+//! The command that tells the history of a job from logs of real processes.
 
 use std::process;
 
@@ -35,7 +35,7 @@
             fleet.entries[0].log().contains("event=job_accepted")
         })
         .await;
-    let first = fleet.in_office().expect("one is in office");
+    let first = fleet.leader().expect("one is in leader");
     fleet.entries[first].kill();
     fleet.until_state(1 - first, 500, "completed").await;
     fleet.entries[1 - first].terminate();
@@ -49,14 +49,14 @@
     for event in [
         "job_accepted",
         "run_placed",
-        "office_taken",
+        "leadership_started",
         "run_ended",
         "job_completed",
     ] {
         assert!(story.contains(event), "no {event} in {story}");
     }
     assert!(!story.contains("missing"), "{story}");
-    // Without the log of the one in office, the story says what it lacks.
+    // Without the log of the leader, the story says what it lacks.
     let accepted: Vec<String> = logs
         .iter()
         .flat_map(|log| log.lines())
--- a/sapphirewalk/tests/entry/fleet.rs
+++ b/sapphirewalk/tests/entry/fleet.rs
@@ -25,7 +25,7 @@
 
 /// Longest wait for a condition; far above what any of them takes on a busy machine.
 const PATIENCE: time::Duration = time::Duration::from_secs(40);
-/// Time between two looks at a condition.
+/// Time between two polls a condition.
 const POLL: time::Duration = time::Duration::from_millis(25);
 /// Workers of a fleet.
 const WORKERS: usize = 4;
@@ -159,7 +159,7 @@
 }
 
 impl EntryFleet {
-    /// Starts stand-ins and so many entry VMs, and waits until one of them is in office.
+    /// Starts stand-ins and so many entry VMs, and waits until one of them leads.
     pub async fn start(test: &str, entries: usize) -> Self {
         let store = StoreStandIn::start().await.expect("loopback has ports");
         store.put_rules(1, &[("bulk", 2), ("urgent", 0)]);
@@ -185,8 +185,8 @@
             fleet.add_entry(number);
         }
         fleet
-            .until("an entry VM is in office", async |fleet| {
-                fleet.in_office().is_some()
+            .until("an entry VM is in leader", async |fleet| {
+                fleet.leader().is_some()
             })
             .await;
         for number in 0..entries {
@@ -225,12 +225,12 @@
         self.entries.push(entry);
     }
 
-    /// The number of the entry VM that took office last.
-    pub fn in_office(&self) -> Option<usize> {
+    /// The number of the entry VM that took the leadership last.
+    pub fn leader(&self) -> Option<usize> {
         let mut best: Option<(u64, usize)> = None;
         for (number, entry) in self.entries.iter().enumerate() {
             for line in entry.log().lines() {
-                let won = line.contains(" event=office_won ");
+                let won = line.contains(" event=leadership_acquired ");
                 let fence = line.split("fence=").nth(1).filter(|_| won);
                 let fence = fence.and_then(|rest| rest.split(' ').next()?.parse().ok());
                 if let Some(fence) = fence
--- a/sapphirewalk_core/src/coordinator/commit.rs
+++ b/sapphirewalk_core/src/coordinator/commit.rs
@@ -1,4 +1,4 @@
-//! What goes on record, and when what was recorded takes effect.
+//! What is written to the store, and what takes effect once it is committed.
 
 use crate::coordinator::CommitBatch;
 use crate::coordinator::Effect;
@@ -18,10 +18,10 @@
 const BATCH_INTERVAL: TimeSpan = TimeSpan::from_millis(12);
 /// A batch without rows renews the lease this often.
 const RENEW_INTERVAL: TimeSpan = TimeSpan::from_millis(400);
-/// What has been learned of images goes on record this often: it changes within some seconds.
+/// What has been learned of images is committed this often: it changes within some seconds.
 const LEARNED_INTERVAL: TimeSpan = TimeSpan::from_millis(3_000);
-/// How long after the last batch on record orders are still given: some renewals, and the time-outs
-/// of a batch whose answer is lost. Together with `look::LEASE_SPAN` it bounds what a successor has
+/// How long after the last committed batch orders are still given: some renewals, and the time-outs
+/// of a batch whose answer is lost. Together with `poll::LEASE_SPAN` it bounds what a successor has
 /// to wait out on workers out of reach, and what outage of the store runs outlive.
 pub const AUTHORITY_SPAN: TimeSpan = TimeSpan::from_millis(3_000);
 
@@ -33,8 +33,8 @@
     next_batch: TimePoint,
     next_renewal: TimePoint,
     next_learned: TimePoint,
-    /// When the last batch that is on record was sent.
-    recorded_at: TimePoint,
+    /// When the last committed batch was sent.
+    committed_at: TimePoint,
 }
 
 /// A batch on its way.
@@ -55,7 +55,7 @@
             next_batch: now,
             next_renewal: now,
             next_learned: now + LEARNED_INTERVAL,
-            recorded_at: now,
+            committed_at: now,
         }
     }
 }
@@ -63,12 +63,12 @@
 impl JobCoordinator {
     /// Whether orders may be given: no successor can have given up waiting for this one.
     pub fn has_authority(&self, now: TimePoint) -> bool {
-        now.since(self.commit.recorded_at) < AUTHORITY_SPAN
+        now.since(self.commit.committed_at) < AUTHORITY_SPAN
     }
 
-    /// When the last batch that is on record was sent.
-    pub const fn recorded_at(&self) -> TimePoint {
-        self.commit.recorded_at
+    /// When the last committed batch was sent.
+    pub const fn committed_at(&self) -> TimePoint {
+        self.commit.committed_at
     }
 
     /// When the next batch is due; none while one is on its way.
@@ -115,7 +115,7 @@
         let ends = if whole {
             let entries = self.workers.iter();
             entries
-                .filter(|(_, entry)| entry.seen > entry.noted)
+                .filter(|(_, entry)| entry.seen > entry.acked)
                 .map(|(slot, entry)| (slot, entry.born_ms, entry.seen))
                 .collect()
         } else {
@@ -125,7 +125,7 @@
         let removed = self.removed.drain(..removable).collect();
         let learned = (now >= self.commit.next_learned).then(|| {
             self.commit.next_learned = now + LEARNED_INTERVAL;
-            self.pressure.hand_on()
+            self.interference.export()
         });
         self.commit.number += 1;
         let number = self.commit.number;
@@ -146,7 +146,7 @@
         }));
     }
 
-    /// A batch is on record: starts in it are sent, ends in it may be forgotten by their workers,
+    /// A batch is committed: starts in it are sent, ends in it may be forgotten by their workers,
     /// and callers are told of its states.
     pub(super) fn on_committed(&mut self, number: u64, now: TimePoint) {
         let Some(batch) = self.commit.in_flight.take() else {
@@ -156,7 +156,7 @@
             self.commit.in_flight = Some(batch);
             return;
         }
-        self.commit.recorded_at = batch.sent_at;
+        self.commit.committed_at = batch.sent_at;
         for (slot, state) in batch.jobs {
             if let Some(job) = self.jobs.get_mut(slot)
                 && state.is_final()
@@ -168,16 +168,16 @@
         for (worker, born_ms, seen) in batch.ends {
             let entry = self.workers.get_mut(worker);
             if entry.born_ms == born_ms {
-                entry.noted = entry.noted.max(seen);
+                entry.acked = entry.acked.max(seen);
             }
-            entry.next_look = entry.next_look.min(now);
+            entry.next_poll = entry.next_poll.min(now);
         }
         for slot in batch.starts {
             self.begin_run(slot, now);
         }
     }
 
-    /// Sends a start that has just gone on record, unless it isn't wanted any more.
+    /// Sends a start that has just been committed, unless it isn't wanted any more.
     fn begin_run(&mut self, slot: TaskSlot, now: TimePoint) {
         let recording = self
             .jobs
@@ -186,10 +186,7 @@
         if !recording {
             return;
         }
-        let over = self
-            .jobs
-            .get(slot.job)
-            .is_none_or(|job| job.state.is_final());
+        let over = self.is_over(slot.job);
         if over {
             self.release(slot, now, TimeSpan::ZERO);
         } else {
@@ -198,20 +195,20 @@
     }
 
     /// Ends of a worker that concern no job's record may be forgotten at once.
-    pub(super) fn note_ends(&mut self, worker: WorkerSlot, now: TimePoint) {
+    pub(super) fn acknowledge_ends(&mut self, worker: WorkerSlot, now: TimePoint) {
         let idle = self.dirty.is_empty() && self.commit.in_flight.is_none();
         let entry = self.workers.get_mut(worker);
-        if entry.seen <= entry.noted {
+        if entry.seen <= entry.acked {
             return;
         }
         if idle {
-            entry.noted = entry.seen;
+            entry.acked = entry.seen;
         } else {
-            // The worker would answer at once for as long as the end isn't noted.
-            entry.next_look = now + NOTE_WAIT;
+            // The worker would answer at once for as long as the end isn't acknowledged.
+            entry.next_poll = now + ACK_WAIT;
         }
     }
 }
 
-/// How long a look waits for the record of ends that the worker has already listed.
-const NOTE_WAIT: TimeSpan = TimeSpan::from_millis(400);
+/// How long a poll waits for the record of ends that the worker has already listed.
+const ACK_WAIT: TimeSpan = TimeSpan::from_millis(400);
--- a/sapphirewalk_core/src/coordinator/evacuate.rs
+++ b/sapphirewalk_core/src/coordinator/evacuate.rs
@@ -37,6 +37,6 @@
             return false;
         }
         let to_do = f64::from(100u32.saturating_sub(task.percent)) / 100.0;
-        step.lasting || step.estimate.scale(to_do) > left.scale(SURE_SHARE)
+        step.service || step.estimate.scale(to_do) > left.scale(SURE_SHARE)
     }
 }
--- a/sapphirewalk_core/src/coordinator/event.rs
+++ b/sapphirewalk_core/src/coordinator/event.rs
@@ -4,7 +4,7 @@
 use std::net;
 use std::rc;
 
-use crate::fill_pace::LearnedImage;
+use crate::image_interference::LearnedImage;
 use crate::job_book::JobProgress;
 use crate::job_spec::JobId;
 use crate::job_spec::JobSpec;
@@ -51,16 +51,16 @@
     pub run: RunName,
     /// Its last checkpoint; empty for none.
     pub checkpoint: String,
-    /// Progress in percent; 100 for a lasting task at work.
+    /// Progress in percent; 100 for a service task at work.
     pub percent: u32,
-    /// Tail of a lasting task in ms, processor use of another in thousandths of a core.
+    /// Tail of a service task in ms, processor use of another in thousandths of a core.
     pub gauge: Option<f64>,
 }
 
 /// A run that a worker lists as ended.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ListedEnd {
-    /// Its number in the worker's present life.
+    /// Its number in the worker's present incarnation.
     pub number: u64,
     /// The run.
     pub run: RunName,
@@ -72,22 +72,22 @@
 
 /// What a worker said of itself.
 #[derive(Clone, Debug, PartialEq)]
-pub enum LookAnswer {
+pub enum PollAnswer {
     /// Its lists.
     Lists {
         /// Its clock in ms.
         clock_ms: u64,
-        /// When its present life began, in Unix ms; 0 when it doesn't say.
+        /// When its present incarnation began, in Unix ms; 0 when it doesn't say.
         born_ms: u64,
         /// Runs at work.
         running: Vec<ListedRun>,
-        /// Runs that ended, as far as they are not noted.
+        /// Runs that ended, as far as they are not acknowledged.
         ended: Vec<ListedEnd>,
     },
     /// It has seen a higher fencing token.
     Fenced,
-    /// It is another life of the worker than was meant.
-    OtherLife,
+    /// It is another incarnation of the worker than was meant.
+    OtherIncarnation,
     /// It refused.
     Refused(u16),
     /// No answer.
@@ -116,8 +116,8 @@
     BadTicket,
     /// It is unwell and has done nothing.
     Unwell,
-    /// It is another life of the worker than was meant.
-    OtherLife,
+    /// It is another incarnation of the worker than was meant.
+    OtherIncarnation,
     /// The order is malformed.
     Malformed,
     /// No answer; the order may be carried out yet.
@@ -131,16 +131,16 @@
     Stored(JobRecord),
     /// A job's cancelling was stored.
     Cancelled(JobId),
-    /// The batch of that number is on record.
+    /// The batch of that number is committed.
     Committed(u64),
-    /// A worker answered a look, or did not.
-    Looked {
+    /// A worker answered a poll, or did not.
+    Polled {
         /// The worker.
         worker: WorkerSlot,
-        /// The deadline that the look gave.
+        /// The deadline that the poll gave.
         deadline_ms: u64,
         /// The answer.
-        answer: LookAnswer,
+        answer: PollAnswer,
     },
     /// A worker answered a start, or did not.
     Started {
@@ -225,17 +225,17 @@
         run: RunName,
     },
     /// Ask for the lists, and let what runs there go on until the deadline.
-    Look {
+    Poll {
         /// The worker.
         target: OrderTarget,
         /// Everything there may go on until this time of its clock; 0 to leave it as it is.
         deadline_ms: u64,
-        /// Ends up to this number are on record.
-        noted: u64,
+        /// Ends up to this number are committed.
+        acked: u64,
         /// How long the worker may wait for an end before it answers.
         wait_ms: u64,
     },
-    /// Change the share of its processor time that a filling task may use.
+    /// Change the share of its processor time that a best-effort task may use.
     Pace {
         /// The worker.
         target: OrderTarget,
@@ -244,7 +244,7 @@
         /// The share in percent.
         percent: u32,
     },
-    /// Give up the lease: another coordinator is in office.
+    /// Give up the lease: another coordinator leads.
     StepDown,
     /// Write a line to the log.
     Log(Decision),
--- a/sapphirewalk_core/src/coordinator/mod.rs
+++ b/sapphirewalk_core/src/coordinator/mod.rs
@@ -1,18 +1,18 @@
 //! One coordinator runs the jobs of a deployment: it chooses workers, orders starts and stops,
 //! and takes note of ends.
 //!
-//! A run is on record in the platform's store before its start is sent, and an end is on record
-//! before its worker may forget it. A successor reads the record, looks at every worker under a
+//! A run is committed in the platform's store before its start is sent, and an end is committed
+//! before its worker may forget it. A successor reads the record, polls every worker under a
 //! higher fencing token, and so knows of each run whether it exists; only runs on workers that it
 //! can't reach have to be waited out.
 
 mod commit;
 mod evacuate;
 mod event;
-mod look;
 mod order;
 mod pace;
 mod place;
+mod poll;
 mod recover;
 mod stall;
 
@@ -23,13 +23,13 @@
 pub use event::JobRecord;
 pub use event::ListedEnd;
 pub use event::ListedRun;
-pub use event::LookAnswer;
 pub use event::OrderAnswer;
 pub use event::OrderTarget;
+pub use event::PollAnswer;
 pub use event::RunEnd;
 pub use recover::JobRecords;
 
-use crate::fill_pace::PressureModel;
+use crate::image_interference::InterferenceModel;
 use crate::job_book::JobBook;
 use crate::job_book::JobEntry;
 use crate::job_book::JobSlot;
@@ -53,7 +53,7 @@
     pub longest_lease: TimeSpan,
     /// How long callers may ask for a job after it ended.
     pub retention: TimeSpan,
-    /// A lasting task may be over its target for this long.
+    /// A service task may be over its target for this long.
     pub harm_tolerance: TimeSpan,
 }
 
@@ -65,7 +65,7 @@
     rules: WorkRules,
     jobs: JobBook,
     workers: WorkerBook,
-    pressure: PressureModel,
+    interference: InterferenceModel,
     dirty: Vec<JobSlot>,
     removed: Vec<JobId>,
     commit: commit::CommitState,
@@ -82,7 +82,7 @@
 const SWEEP_INTERVAL: TimeSpan = TimeSpan::from_millis(100);
 
 impl JobCoordinator {
-    /// A coordinator that has taken office under a fencing token.
+    /// A coordinator that has taken the leadership under a fencing token.
     pub fn new(limits: CoordinatorLimits, fence: u64, now: TimePoint) -> Self {
         Self {
             limits,
@@ -90,7 +90,7 @@
             rules: WorkRules::default(),
             jobs: JobBook::default(),
             workers: WorkerBook::default(),
-            pressure: PressureModel::default(),
+            interference: InterferenceModel::default(),
             dirty: Vec::new(),
             removed: Vec::new(),
             commit: commit::CommitState::new(now),
@@ -118,16 +118,6 @@
         }
     }
 
-    /// The rules in force.
-    pub const fn rules(&self) -> &WorkRules {
-        &self.rules
-    }
-
-    /// The fencing token.
-    pub const fn fence(&self) -> u64 {
-        self.fence
-    }
-
     /// Takes the platform's list of workers.
     pub fn set_workers(&mut self, reports: Vec<WorkerReport>, now: TimePoint) {
         let slots: Vec<WorkerSlot> = self.workers.slots().collect();
@@ -158,7 +148,7 @@
                 }));
             }
             if other_place {
-                entry.next_look = now;
+                entry.next_poll = now;
             }
             let begins_to_leave = report.draining && !entry.report.draining;
             entry.report = report;
@@ -175,11 +165,11 @@
             Event::Stored(record) => self.on_stored(record, now),
             Event::Cancelled(id) => self.on_cancelled(id, now),
             Event::Committed(number) => self.on_committed(number, now),
-            Event::Looked {
+            Event::Polled {
                 worker,
                 deadline_ms,
                 answer,
-            } => self.on_looked(worker, deadline_ms, answer, now),
+            } => self.on_polled(worker, deadline_ms, answer, now),
             Event::Started {
                 worker,
                 run,
@@ -209,7 +199,7 @@
             self.place_due = false;
             self.place(now);
         }
-        self.look_round(now);
+        self.poll_round(now);
         self.commit_round(now);
         std::mem::take(&mut self.effects)
     }
@@ -225,8 +215,8 @@
         }
         if self.has_authority(now) {
             for (_, worker) in self.workers.iter() {
-                if worker.is_looked_at() && !worker.looking {
-                    wake = wake.min(worker.next_look);
+                if worker.is_polled() && !worker.polling {
+                    wake = wake.min(worker.next_poll);
                 }
             }
         }
@@ -263,6 +253,11 @@
             .push(Effect::Log(Decision { event, job, detail }));
     }
 
+    /// Whether a job has ended or is not known.
+    fn is_over(&self, slot: JobSlot) -> bool {
+        self.jobs.get(slot).is_none_or(|job| job.state.is_final())
+    }
+
     fn mark_dirty(&mut self, slot: JobSlot) {
         if let Some(job) = self.jobs.get_mut(slot)
             && !job.dirty
@@ -304,7 +299,7 @@
         let before = job.state;
         self.end_job(slot, JobState::Cancelled, now);
         if let Some(job) = self.jobs.get_mut(slot) {
-            // The cancelling itself is on record already.
+            // The cancelling itself is committed already.
             job.shown = JobState::Cancelled;
         }
         self.log("job_cancelled", Some(id), format!("was={before:?}"));
@@ -364,7 +359,7 @@
             worker,
             id: entry.report.id.clone(),
             address: entry.report.address,
-            fence: (self.fence << LIFE_BITS) + entry.lives,
+            fence: (self.fence << INCARNATION_BITS) + entry.ended_incarnations,
         }
     }
 
@@ -441,19 +436,19 @@
                 }
             }
         }
-        for line in self.pressure.report(now) {
-            self.log("pressure_learned", None, line);
+        for line in self.interference.report(now) {
+            self.log("interference_learned", None, line);
         }
         self.wait_out_leases(now);
         self.resend_due(now);
-        // Waiting tasks whose delay is over, and workers that are no longer shunned.
+        // Waiting tasks whose delay is over, and workers that are no longer quarantined.
         self.place_due = true;
     }
 }
 
-/// Bits of a fencing token that count the lives of a worker: orders meant for an earlier life are
-/// refused by the next one.
-const LIFE_BITS: u32 = 16;
+/// Bits of a fencing token that count the incarnations of a worker: the next one refuses orders that
+/// were meant for an earlier one.
+const INCARNATION_BITS: u32 = 16;
 /// Attempts of a task whose queue was dropped: the users' queues allow 2 to 4.
 const FALLBACK_ATTEMPTS: u32 = 3;
 /// Slowdown factor of a job whose queue was dropped, as the sites' bulk queues have.
--- a/sapphirewalk_core/src/coordinator/order.rs
+++ b/sapphirewalk_core/src/coordinator/order.rs
@@ -3,7 +3,7 @@
 use crate::coordinator::Effect;
 use crate::coordinator::JobCoordinator;
 use crate::coordinator::OrderAnswer;
-use crate::coordinator::look;
+use crate::coordinator::poll;
 use crate::job_book::TaskPhase;
 use crate::job_book::TaskSlot;
 use crate::job_spec::RunName;
@@ -12,9 +12,9 @@
 use crate::worker_book::WorkerSlot;
 
 /// A worker that did not answer an order gets nothing new for this long.
-const MISSING_SHUN: TimeSpan = TimeSpan::from_millis(1_000);
+const MISSING_QUARANTINE: TimeSpan = TimeSpan::from_millis(1_000);
 /// A worker that refused an order because it is unwell gets nothing new for this long.
-const UNWELL_SHUN: TimeSpan = TimeSpan::from_millis(1_500);
+const UNWELL_QUARANTINE: TimeSpan = TimeSpan::from_millis(1_500);
 /// Time before an order without an answer is sent again.
 const RESEND_DELAY: TimeSpan = TimeSpan::from_millis(150);
 /// Time before a run that was turned away is tried elsewhere.
@@ -51,10 +51,7 @@
         let Some(slot) = self.placed_run(worker, run) else {
             return;
         };
-        let over = self
-            .jobs
-            .get(slot.job)
-            .is_none_or(|job| job.state.is_final());
+        let over = self.is_over(slot.job);
         let Some(task) = self.jobs.task_mut(slot) else {
             return;
         };
@@ -83,8 +80,8 @@
             }
             OrderAnswer::Missing => {
                 task.unsure = true;
-                task.doubted = true;
-                self.shun(worker, MISSING_SHUN, "start_missing", now);
+                task.start_unanswered = true;
+                self.quarantine(worker, MISSING_QUARANTINE, "start_missing", now);
                 self.resend(worker, run, ResendKind::Start, now);
                 return;
             }
@@ -92,7 +89,7 @@
             | OrderAnswer::Unwell
             | OrderAnswer::Expired
             | OrderAnswer::BadTicket
-            | OrderAnswer::OtherLife
+            | OrderAnswer::OtherIncarnation
             | OrderAnswer::Unsent
             | OrderAnswer::Malformed
             | OrderAnswer::Fenced => {}
@@ -104,9 +101,11 @@
             format!("run={run} worker={id} answer={answer:?} unsure={unsure}"),
         );
         match answer {
-            OrderAnswer::Unwell => self.shun(worker, UNWELL_SHUN, "unwell", now),
-            OrderAnswer::Unsent => self.shun(worker, MISSING_SHUN, "unreachable", now),
-            OrderAnswer::OtherLife => self.shun(worker, MISSING_SHUN, "other_life", now),
+            OrderAnswer::Unwell => self.quarantine(worker, UNWELL_QUARANTINE, "unwell", now),
+            OrderAnswer::Unsent => self.quarantine(worker, MISSING_QUARANTINE, "unreachable", now),
+            OrderAnswer::OtherIncarnation => {
+                self.quarantine(worker, MISSING_QUARANTINE, "other_incarnation", now);
+            }
             _ => {}
         }
         if unsure {
@@ -153,7 +152,7 @@
             | OrderAnswer::Expired
             | OrderAnswer::NoRoom
             | OrderAnswer::BadTicket
-            | OrderAnswer::OtherLife
+            | OrderAnswer::OtherIncarnation
             | OrderAnswer::Malformed => {}
         }
     }
@@ -192,10 +191,7 @@
             let Some(slot) = self.placed_run(entry.worker, entry.run) else {
                 continue;
             };
-            let over = self
-                .jobs
-                .get(slot.job)
-                .is_none_or(|job| job.state.is_final());
+            let over = self.is_over(slot.job);
             let starting = self
                 .jobs
                 .task(slot)
@@ -208,7 +204,7 @@
         }
     }
 
-    /// Sends the start of a run that is on record.
+    /// Sends the start of a run that is committed.
     pub(super) fn send_start(&mut self, slot: TaskSlot, now: TimePoint) {
         let Some(run) = self.jobs.run_name(slot) else {
             return;
@@ -216,7 +212,7 @@
         let Some(worker) = self.jobs.task(slot).and_then(|task| task.worker) else {
             return;
         };
-        let span = look::LEASE_SPAN.min(self.limits.longest_lease);
+        let span = poll::LEASE_SPAN.min(self.limits.longest_lease);
         let entry = self.workers.get(worker);
         let fresh = entry
             .clock_at(now)
--- a/sapphirewalk_core/src/coordinator/pace.rs
+++ b/sapphirewalk_core/src/coordinator/pace.rs
@@ -1,14 +1,14 @@
-//! Filling tasks beside lasting ones: where they go, and which of them have to leave.
+//! Best-effort tasks beside service tasks: where they go, and which of them have to leave.
 //!
-//! Answers bursts of filling bulk work on workers that are nearly full of lasting tasks: a filling
-//! task goes where nothing that it presses on runs, and leaves a worker on which a tail has passed
+//! Answers bursts of best-effort work on workers that are nearly full of service tasks: a best-effort
+//! task goes where nothing that it interferes with runs, and leaves a worker on which a tail has passed
 //! its target.
 
 use crate::coordinator::Effect;
 use crate::coordinator::JobCoordinator;
 use crate::coordinator::OrderAnswer;
-use crate::fill_pace::ImageKey;
-use crate::fill_pace::ImageLoad;
+use crate::image_interference::ImageKey;
+use crate::image_interference::ImageLoad;
 use crate::job_book::TaskPhase;
 use crate::job_book::TaskSlot;
 use crate::job_spec::RunName;
@@ -19,25 +19,25 @@
 use crate::worker_book::TaskGauge;
 use crate::worker_book::WorkerSlot;
 
-/// Share of its processor claim that a lasting task uses.
-const LASTING_LOAD: f64 = 0.5;
+/// Share of its processor claim that a service task uses.
+const SERVICE_LOAD: f64 = 0.5;
 /// Workers' figures are of the last half second; samples closer together are the same ones.
 const SAMPLE_INTERVAL: TimeSpan = TimeSpan::from_millis(450);
-/// A tail over its target without a known cause makes some filling task leave after this long, a
+/// A tail over its target without a known cause makes some best-effort task leave after this long, a
 /// quarter of the time for which harm is tolerated at the least.
 const UNEXPLAINED_SPAN: TimeSpan = TimeSpan::from_millis(1_400);
-/// Filling tasks that press are paced down at once where a tail is far over its target; where it
+/// Best-effort tasks that interfere are paced down at once where a tail is far over its target; where it
 /// is a little over, after this long, since loads swing by themselves.
 const PATIENT_SPAN: TimeSpan = TimeSpan::from_millis(900);
-/// Share of the tolerated time of harm after which every filling task that presses leaves,
+/// Share of the tolerated time of harm after which every best-effort task that interferes leaves,
 const CLEARING_SHARE: f64 = 0.45;
-/// and every filling task: a stop takes up to 0.9 s of the 4 s that are tolerated.
+/// and every best-effort task: a stop takes up to 0.9 s of the 4 s that are tolerated.
 const EMPTYING_SHARE: f64 = 0.65;
-/// Logarithm of a tail over its target at which a strain begins: 0.97 of it.
-const STRAIN_BEGINS: f64 = -0.03;
-/// Logarithm below which a strain is over: 0.88 of the target.
-const STRAIN_ENDS: f64 = -0.13;
-/// Logarithm of a tail over its target above which filling tasks are paced down: 1.2 times the
+/// Logarithm of a tail over its target at which a violation begins: 0.97 of it.
+const VIOLATION_BEGINS: f64 = -0.03;
+/// Logarithm below which a violation is over: 0.88 of the target.
+const VIOLATION_ENDS: f64 = -0.13;
+/// Logarithm of a tail over its target above which best-effort tasks are paced down: 1.2 times the
 /// target. Pacing at less holds tasks, and their memory, on workers where they hardly get on.
 const PACE_ABOVE: f64 = 0.2;
 /// Logarithm that pacing aims at: the target itself.
@@ -48,28 +48,28 @@
 const RAISE_STEP: u32 = 50;
 /// Tails are whole milliseconds; 0 stands for less than one.
 const MIN_TAIL_MS: f64 = 0.5;
-/// Expected logarithm of the tail over its target beyond which no filling task is added: 0.7 of
+/// Expected logarithm of the tail over its target beyond which no best-effort task is added: 0.7 of
 /// the target, for the swing of loads.
 const PLACE_CEILING: f64 = -0.35;
-/// Share of a worker's processor by which filling tasks may claim more than is expected to be
+/// Share of a worker's processor by which best-effort tasks may claim more than is expected to be
 /// left. With more they hold memory for longer without getting more done.
 const OVERBOOKING: f64 = 0.05;
-/// A filling task that presses less than this on a lasting one (as a logarithm) may join it even
+/// A best-effort task that interferes less than this with a service task (as a logarithm) may join it even
 /// where its tail is long already.
-const HARMLESS_PRESSURE: f64 = 0.03;
-/// Weight of a worker's lasting tasks of the same image in the choice of a worker.
+const HARMLESS_INTERFERENCE: f64 = 0.03;
+/// Weight of a worker's service tasks of the same image in the choice of a worker.
 const SAME_IMAGE_WEIGHT: f64 = 1.0;
 
-/// How well a worker suits a filling task; more is better.
+/// How well a worker suits a best-effort task; more is better.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub(super) enum FillerScore {
+pub(super) enum BestEffortScore {
     /// It may go there.
     Suits(f64),
     /// It would press a tail over its target, or get little of the worker.
-    Presses(f64),
+    Interferes(f64),
 }
 
-/// The tail of a lasting task.
+/// The tail of a service task.
 #[derive(Clone, Copy, Debug)]
 struct MeasuredTail {
     image: ImageKey,
@@ -77,21 +77,21 @@
     log_ratio: f64,
 }
 
-/// The pace that a filling task should have.
+/// The pace that a best-effort task should have.
 #[derive(Clone, Copy, Debug)]
-struct FillerPace {
+struct BestEffortPace {
     slot: TaskSlot,
     image: ImageKey,
     /// Share of the worker's processor that it uses.
     share: f64,
-    /// By how much it raises the logarithm of the tail on which it presses most.
-    pressure: f64,
+    /// By how much it raises the logarithm of the tail on which it interferes most.
+    interference: f64,
     before: u32,
     percent: u32,
 }
 
 impl JobCoordinator {
-    /// Reviews the filling tasks on a worker that has just shown how its tasks do.
+    /// Reviews the best-effort tasks on a worker that has just shown how its tasks do.
     pub(super) fn pace_worker(&mut self, worker: WorkerSlot, now: TimePoint) {
         let entry = self.workers.get_mut(worker);
         if now.since(entry.sampled_at) < SAMPLE_INTERVAL {
@@ -100,44 +100,44 @@
         entry.sampled_at = now;
         let gauges = entry.gauges.clone();
         let capacity = entry.report.capacity.cpu_millis.max(1) as f64;
-        let loads = self.filler_loads(&gauges, capacity);
+        let loads = self.best_effort_loads(&gauges, capacity);
         let tails = self.learn_tails(&gauges, &loads, now);
         let worst = worst_tail(&tails);
         let entry = self.workers.get_mut(worker);
-        entry.strained_since = match entry.strained_since {
-            // Figures are rough: a strain is over only well below the target.
-            Some(since) if worst > STRAIN_ENDS => Some(since),
-            None if worst > STRAIN_BEGINS => Some(now),
+        entry.violating_since = match entry.violating_since {
+            // Figures are rough: a violation is over only well below the target.
+            Some(since) if worst > VIOLATION_ENDS => Some(since),
+            None if worst > VIOLATION_BEGINS => Some(now),
             _ => None,
         };
         entry.mean_tail = mean_tail(&tails);
-        let strained_for = entry
-            .strained_since
+        let violating_for = entry
+            .violating_since
             .map_or(TimeSpan::ZERO, |since| now.since(since));
-        let above = if strained_for >= PATIENT_SPAN {
-            STRAIN_ENDS
+        let above = if violating_for >= PATIENT_SPAN {
+            VIOLATION_ENDS
         } else {
             PACE_ABOVE
         };
-        let paces = self.filler_paces(&gauges, capacity, &tails, above);
+        let paces = self.best_effort_paces(&gauges, capacity, &tails, above);
         let lowered = paces.iter().any(|pace| pace.percent < pace.before);
         let tolerance = self.limits.harm_tolerance;
         let clearing_span = tolerance.scale(CLEARING_SHARE);
         let emptying_span = tolerance.scale(EMPTYING_SHARE);
-        let mut unexplained = strained_for >= UNEXPLAINED_SPAN && !lowered;
+        let mut unexplained = violating_for >= UNEXPLAINED_SPAN && !lowered;
         for pace in paces {
-            let presses = pace.pressure > HARMLESS_PRESSURE / 2.0;
-            let clearing = strained_for >= clearing_span && presses;
-            if clearing || strained_for >= emptying_span || unexplained {
+            let interferes = pace.interference > HARMLESS_INTERFERENCE / 2.0;
+            let clearing = violating_for >= clearing_span && interferes;
+            if clearing || violating_for >= emptying_span || unexplained {
                 unexplained = false;
-                self.expel(worker, &pace, worst, strained_for);
+                self.evict(worker, &pace, worst, violating_for);
             } else if pace.percent != pace.before {
                 self.change_pace(worker, &pace, worst);
             }
         }
     }
 
-    /// Learns from the tails of lasting tasks at work; returns these.
+    /// Learns from the tails of service tasks at work; returns these.
     fn learn_tails(
         &mut self,
         gauges: &[TaskGauge],
@@ -150,12 +150,12 @@
                 continue;
             };
             let target = step.tail_target.as_millis() as f64;
-            if !step.lasting || target <= 0.0 || !self.is_at_work(gauge.slot) {
+            if !step.service || target <= 0.0 || !self.is_at_work(gauge.slot) {
                 continue;
             }
-            let image = self.pressure.intern(&step.image);
+            let image = self.interference.intern(&step.image);
             let ratio = gauge.value.max(MIN_TAIL_MS) / target;
-            self.pressure.observe(image, loads, ratio, now);
+            self.interference.observe(image, loads, ratio, now);
             tails.push(MeasuredTail {
                 image,
                 log_ratio: ratio.ln(),
@@ -164,57 +164,57 @@
         tails
     }
 
-    /// The pace that each filling task on a worker should have, those that press most first.
-    fn filler_paces(
+    /// The pace that each best-effort task on a worker should have, those that interfere most first.
+    fn best_effort_paces(
         &mut self,
         gauges: &[TaskGauge],
         capacity: f64,
         tails: &[MeasuredTail],
         above: f64,
-    ) -> Vec<FillerPace> {
+    ) -> Vec<BestEffortPace> {
         let mut paces = Vec::new();
         for gauge in gauges {
             let Some(step) = self.jobs.step(gauge.slot) else {
                 continue;
             };
-            if !step.filler {
+            if !step.best_effort {
                 continue;
             }
-            let image = self.pressure.intern(&step.image);
+            let image = self.interference.intern(&step.image);
             let Some(task) = self.jobs.task(gauge.slot) else {
                 continue;
             };
             if task.stopping || task.phase != TaskPhase::Running {
                 continue;
             }
-            paces.push(FillerPace {
+            paces.push(BestEffortPace {
                 slot: gauge.slot,
                 image,
                 share: gauge.value.max(0.0) / capacity,
-                pressure: 0.0,
+                interference: 0.0,
                 before: task.pace,
                 percent: task.pace,
             });
         }
         for pace in &mut paces {
-            let pressures = tails
+            let interferences = tails
                 .iter()
-                .map(|tail| self.pressure.weight(tail.image, pace.image) * pace.share);
-            pace.pressure = pressures.fold(0.0, f64::max);
+                .map(|tail| self.interference.weight(tail.image, pace.image) * pace.share);
+            pace.interference = interferences.fold(0.0, f64::max);
         }
         for tail in tails {
             let weights: Vec<f64> = paces
                 .iter()
-                .map(|pace| self.pressure.weight(tail.image, pace.image) * pace.share)
+                .map(|pace| self.interference.weight(tail.image, pace.image) * pace.share)
                 .collect();
             let total: f64 = weights.iter().sum();
             let excess = tail.log_ratio - PACE_AIM.min(above);
-            if tail.log_ratio <= above || total < HARMLESS_PRESSURE {
+            if tail.log_ratio <= above || total < HARMLESS_INTERFERENCE {
                 continue;
             }
             let factor = (1.0 - excess / total).clamp(0.0, 1.0);
             for (pace, weight) in paces.iter_mut().zip(weights) {
-                if weight > HARMLESS_PRESSURE / 2.0 {
+                if weight > HARMLESS_INTERFERENCE / 2.0 {
                     let lowered = (f64::from(pace.before) * factor) as u32;
                     pace.percent = pace.percent.min(lowered);
                 }
@@ -227,27 +227,27 @@
             }
         }
         paces.sort_unstable_by(|one, other| {
-            let key = (other.pressure, other.share);
-            key.partial_cmp(&(one.pressure, one.share))
+            let key = (other.interference, other.share);
+            key.partial_cmp(&(one.interference, one.share))
                 .unwrap_or(std::cmp::Ordering::Equal)
         });
         paces
     }
 
-    fn change_pace(&mut self, worker: WorkerSlot, pace: &FillerPace, worst: f64) {
+    fn change_pace(&mut self, worker: WorkerSlot, pace: &BestEffortPace, worst: f64) {
         let Some(run) = self.jobs.run_name(pace.slot) else {
             return;
         };
         let target = self.target(worker);
         let percent = pace.percent;
         self.log(
-            "filler_paced",
+            "best_effort_paced",
             Some(run.task.job),
             format!(
-                "run={run} worker={} percent={percent} before={} pressure={:.2} worst_tail={:.2}",
+                "run={run} worker={} percent={percent} before={} interference={:.2} worst_tail={:.2}",
                 target.id,
                 pace.before,
-                pace.pressure,
+                pace.interference,
                 worst.exp()
             ),
         );
@@ -261,21 +261,27 @@
         });
     }
 
-    /// Makes a filling task leave its worker: it is paced down at once, and stopped.
-    fn expel(&mut self, worker: WorkerSlot, pace: &FillerPace, worst: f64, strained_for: TimeSpan) {
+    /// Makes a best-effort task leave its worker: it is paced down at once, and stopped.
+    fn evict(
+        &mut self,
+        worker: WorkerSlot,
+        pace: &BestEffortPace,
+        worst: f64,
+        violating_for: TimeSpan,
+    ) {
         let Some(run) = self.jobs.run_name(pace.slot) else {
             return;
         };
         let target = self.target(worker);
         self.log(
-            "filler_expelled",
+            "best_effort_evicted",
             Some(run.task.job),
             format!(
-                "run={run} worker={} pace={} pressure={:.2} share={:.2} worst_tail={:.2} \
-                 strained_for={strained_for}",
+                "run={run} worker={} pace={} interference={:.2} share={:.2} worst_tail={:.2} \
+                 violating_for={violating_for}",
                 target.id,
                 pace.before,
-                pace.pressure,
+                pace.interference,
                 pace.share,
                 worst.exp()
             ),
@@ -291,15 +297,15 @@
         self.order_stop(pace.slot, "harm");
     }
 
-    /// What filling images use of a worker's processor, as it last said.
-    fn filler_loads(&mut self, gauges: &[TaskGauge], capacity: f64) -> Vec<ImageLoad> {
+    /// What best-effort images use of a worker's processor, as it last said.
+    fn best_effort_loads(&mut self, gauges: &[TaskGauge], capacity: f64) -> Vec<ImageLoad> {
         let mut loads: Vec<ImageLoad> = Vec::new();
         for gauge in gauges {
             let Some(step) = self.jobs.step(gauge.slot) else {
                 continue;
             };
-            if step.filler {
-                let image = self.pressure.intern(&step.image);
+            if step.best_effort {
+                let image = self.interference.intern(&step.image);
                 add_load(&mut loads, image, gauge.value.max(0.0) / capacity);
             }
         }
@@ -327,65 +333,65 @@
         }
     }
 
-    /// How well a worker suits a filling task.
-    pub(super) fn filler_score(&self, worker: WorkerSlot, step: &StepSpec) -> FillerScore {
+    /// How well a worker suits a best-effort task.
+    pub(super) fn best_effort_score(&self, worker: WorkerSlot, step: &StepSpec) -> BestEffortScore {
         let entry = self.workers.get(worker);
         let mean = entry.mean_tail;
         let capacity = entry.report.capacity.cpu_millis.max(1) as f64;
         let mut left = 1.0;
         let mut loads: Vec<ImageLoad> = Vec::new();
-        let mut lasting = Vec::new();
+        let mut service = Vec::new();
         for slot in &entry.tasks {
             let Some(other) = self.jobs.step(*slot) else {
                 continue;
             };
             let claim = other.demand.cpu_millis as f64 / capacity;
-            if other.lasting {
-                left -= claim * LASTING_LOAD;
-                lasting.extend(self.pressure.find(&other.image));
+            if other.service {
+                left -= claim * SERVICE_LOAD;
+                service.extend(self.interference.find(&other.image));
             } else {
                 left -= claim;
             }
-            if other.filler
-                && let Some(image) = self.pressure.find(&other.image)
+            if other.best_effort
+                && let Some(image) = self.interference.find(&other.image)
             {
                 add_load(&mut loads, image, claim);
             }
         }
         let share = step.demand.cpu_millis as f64 / capacity;
-        let mut presses = left - share < -OVERBOOKING;
+        let mut interferes = left - share < -OVERBOOKING;
         let mut total = 0.0;
-        if let Some(image) = self.pressure.find(&step.image) {
-            lasting.sort_unstable();
-            lasting.dedup();
+        if let Some(image) = self.interference.find(&step.image) {
+            service.sort_unstable();
+            service.dedup();
             add_load(&mut loads, image, share);
-            for kind in lasting {
-                let weight = self.pressure.weight(kind, image);
+            for kind in service {
+                let weight = self.interference.weight(kind, image);
                 let added = weight * share;
-                let expected = self.pressure.expect(kind, &loads).max(mean + added);
-                if added > HARMLESS_PRESSURE && expected > PLACE_CEILING {
-                    presses = true;
+                let expected = self.interference.expect(kind, &loads).max(mean + added);
+                if added > HARMLESS_INTERFERENCE && expected > PLACE_CEILING {
+                    interferes = true;
                 }
                 total += added;
             }
         }
         let score = left - share - total;
-        if presses {
-            FillerScore::Presses(score)
+        if interferes {
+            BestEffortScore::Interferes(score)
         } else {
-            FillerScore::Suits(score)
+            BestEffortScore::Suits(score)
         }
     }
 
-    /// How well a worker suits a lasting task: beside tasks of its own image, so that filling
-    /// tasks find workers where nothing that they press on runs.
-    pub(super) fn lasting_score(&self, worker: WorkerSlot, step: &StepSpec) -> f64 {
+    /// How well a worker suits a service task: beside tasks of its own image, so that best-effort
+    /// tasks find workers where nothing that they interfere with runs.
+    pub(super) fn service_score(&self, worker: WorkerSlot, step: &StepSpec) -> f64 {
         let entry = self.workers.get(worker);
         let mut same = 0.0;
         let mut total = 0.0;
         for slot in &entry.tasks {
-            let lasting = self.jobs.step(*slot).filter(|other| other.lasting);
-            let Some(other) = lasting else {
+            let service = self.jobs.step(*slot).filter(|other| other.service);
+            let Some(other) = service else {
                 continue;
             };
             total += 1.0;
@@ -402,8 +408,8 @@
         alike * SAME_IMAGE_WEIGHT + free / entry.report.capacity.cpu_millis.max(1) as f64
     }
 
-    /// Whether a lasting task is at work.
-    pub fn is_at_work(&self, slot: TaskSlot) -> bool {
+    /// Whether a service task is at work.
+    fn is_at_work(&self, slot: TaskSlot) -> bool {
         self.jobs
             .task(slot)
             .is_some_and(|task| task.phase == TaskPhase::Running && task.percent >= 100)
--- a/sapphirewalk_core/src/coordinator/place.rs
+++ b/sapphirewalk_core/src/coordinator/place.rs
@@ -1,8 +1,8 @@
 //! Which step gets room next, and on which worker.
 
 use crate::coordinator::JobCoordinator;
-use crate::coordinator::look;
-use crate::coordinator::pace::FillerScore;
+use crate::coordinator::pace::BestEffortScore;
+use crate::coordinator::poll;
 use crate::job_book::JobEntry;
 use crate::job_book::JobSlot;
 use crate::job_book::TaskPhase;
@@ -35,12 +35,12 @@
     marks: Vec<FullMark>,
 }
 
-/// A demand that found no room. Filling tasks of other images may still find some, since it is
-/// what an image presses on that closes workers to it.
+/// A demand that found no room. Best-effort tasks of other images may still find some, since it is
+/// what an image interferes with that closes workers to it.
 #[derive(Debug)]
 struct FullMark {
     pool: String,
-    filler: Option<String>,
+    best_effort: Option<String>,
     least: ResourceVector,
 }
 
@@ -49,7 +49,7 @@
         let demand = worker_book::counted_demand(step);
         self.marks.iter().any(|mark| {
             mark.pool == pool
-                && mark.filler.as_deref() == filler_image(step)
+                && mark.best_effort.as_deref() == best_effort_image(step)
                 && mark.least.fits(demand)
         })
     }
@@ -57,18 +57,18 @@
     fn add(&mut self, pool: &str, step: &StepSpec) {
         self.marks.push(FullMark {
             pool: pool.to_owned(),
-            filler: filler_image(step).map(str::to_owned),
+            best_effort: best_effort_image(step).map(str::to_owned),
             least: worker_book::counted_demand(step),
         });
     }
 }
 
-fn filler_image(step: &StepSpec) -> Option<&str> {
-    step.filler.then_some(step.image.as_str())
+fn best_effort_image(step: &StepSpec) -> Option<&str> {
+    step.best_effort.then_some(step.image.as_str())
 }
 
 impl JobCoordinator {
-    /// Gives room to the steps that wait, most pressing first.
+    /// Gives room to the steps that wait, most urgent first.
     pub(super) fn place(&mut self, now: TimePoint) {
         self.next_place = now + PLACE_INTERVAL;
         if !self.has_authority(now) {
@@ -124,7 +124,7 @@
         let spec = job.spec.clone();
         let step = &spec.steps[index];
         let plain = step.required_label.is_none() && step.per_worker == 0;
-        if full.covers(&waiting.pool, step) && !(step.filler && self.is_starved(waiting)) {
+        if full.covers(&waiting.pool, step) && !(step.best_effort && self.is_starved(waiting)) {
             return;
         }
         let first = job.first_tasks[index];
@@ -145,7 +145,7 @@
         }
         let mut placed = Vec::with_capacity(open.len());
         for slot in open {
-            let starved = step.filler && placed.is_empty() && self.is_starved(waiting);
+            let starved = step.best_effort && placed.is_empty() && self.is_starved(waiting);
             let Some(worker) = self.choose_worker(slot, step, waiting, starved, now) else {
                 if plain {
                     full.add(&waiting.pool, step);
@@ -172,7 +172,7 @@
         }
     }
 
-    /// Chooses a task's worker; the run goes on record before its start is sent.
+    /// Chooses a task's worker; the run is committed before its start is sent.
     fn assign(
         &mut self,
         slot: TaskSlot,
@@ -190,7 +190,7 @@
         task.since = now;
         task.confirmed_ms = 0;
         task.unsure = false;
-        task.doubted = false;
+        task.start_unanswered = false;
         task.deadline_ms = 0;
         task.stopping = false;
         task.pace = worker_book::FULL_PACE;
@@ -229,7 +229,7 @@
         let mut best: Option<(f64, WorkerSlot)> = None;
         for (worker, entry) in self.workers.iter() {
             if entry.report.pool != waiting.pool
-                || !entry.is_usable(now, look::SILENCE_LIMIT)
+                || !entry.is_usable(now, poll::SILENCE_LIMIT)
                 || !demand.fits(entry.free())
             {
                 continue;
@@ -243,14 +243,14 @@
             if step.per_worker > 0 && others >= usize::from(step.per_worker) {
                 continue;
             }
-            let mut score = if step.filler {
-                match self.filler_score(worker, step) {
-                    FillerScore::Suits(score) => score,
-                    FillerScore::Presses(score) if starved => score - PRESSING_PENALTY,
-                    FillerScore::Presses(_) => continue,
+            let mut score = if step.best_effort {
+                match self.best_effort_score(worker, step) {
+                    BestEffortScore::Suits(score) => score,
+                    BestEffortScore::Interferes(score) if starved => score - INTERFERING_PENALTY,
+                    BestEffortScore::Interferes(_) => continue,
                 }
-            } else if step.lasting {
-                self.lasting_score(worker, step) - others as f64 * SAME_STEP_PENALTY
+            } else if step.service {
+                self.service_score(worker, step) - others as f64 * SAME_STEP_PENALTY
             } else {
                 share_free(entry.free(), entry.report.capacity)
             };
@@ -272,7 +272,7 @@
     }
 
     /// Whether a job has nothing running while less than about half of its pool is claimed. Then one
-    /// of its tasks runs even where it presses on others, or gets little of a worker.
+    /// of its tasks runs even where it interferes with others, or gets little of a worker.
     fn is_starved(&self, waiting: &WaitingStep) -> bool {
         let Some(job) = self.jobs.get(waiting.job) else {
             return false;
@@ -318,9 +318,9 @@
 /// Free share of a pool from which on no job may wait with nothing running: callers are promised
 /// that where half is free, with some slack for what is about to end.
 const STARVED_FREE_SHARE: f64 = 0.42;
-/// Keeps a starved filling task off workers where it presses, unless it presses everywhere.
-const PRESSING_PENALTY: f64 = 20.0;
-/// Keeps tasks of one lasting step apart, so that the loss of a worker takes few of them.
+/// Keeps a starved best-effort task off workers where it interferes, unless it interferes everywhere.
+const INTERFERING_PENALTY: f64 = 20.0;
+/// Keeps tasks of one service step apart, so that the loss of a worker takes few of them.
 const SAME_STEP_PENALTY: f64 = 0.5;
 /// Keeps a task off the worker where it just failed, unless there is no other.
 const AVOID_PENALTY: f64 = 10.0;
--- a/sapphirewalk_core/src/coordinator/look.rs
+++ b/sapphirewalk_core/src/coordinator/poll.rs
@@ -1,10 +1,10 @@
-//! What workers say: lists of runs, and answers to orders.
+//! What workers say of themselves: lists of runs at work and of ends.
 
 use crate::coordinator::Effect;
 use crate::coordinator::JobCoordinator;
 use crate::coordinator::ListedEnd;
 use crate::coordinator::ListedRun;
-use crate::coordinator::LookAnswer;
+use crate::coordinator::PollAnswer;
 use crate::coordinator::RunEnd;
 use crate::job_book::JobState;
 use crate::job_book::TaskPhase;
@@ -17,49 +17,49 @@
 use crate::worker_book::WorkerSlot;
 
 /// How far ahead of the present a worker's runs may go on: long enough for a successor to take
-/// office and look at the worker, and for cuts of a failure domain, which last 5 to 6.5 s; short
+/// the leadership and poll the worker, and for cuts of a failure domain, which last 5 to 6.5 s; short
 /// enough that runs on a lost worker are repeated before callers give up.
 pub const LEASE_SPAN: TimeSpan = TimeSpan::from_millis(8_000);
-/// How long a worker may wait for an end before it answers a look.
-const LOOK_WAIT: TimeSpan = TimeSpan::from_millis(1_000);
-/// Time before a worker that did not answer is looked at again.
-const LOOK_RETRY: TimeSpan = TimeSpan::from_millis(300);
-/// A worker that has not answered for this long gets nothing new: a look's wait and as much again.
+/// How long a worker may wait for an end before it answers a poll.
+const POLL_WAIT: TimeSpan = TimeSpan::from_millis(1_000);
+/// Time before a worker that did not answer is polled again.
+const POLL_RETRY: TimeSpan = TimeSpan::from_millis(300);
+/// A worker that has not answered for this long gets nothing new: a poll's wait and as much again.
 pub const SILENCE_LIMIT: TimeSpan = TimeSpan::from_millis(2_200);
-/// Runs that fail in a row on one worker before it is shunned.
+/// Runs that fail in a row on one worker before it is quarantined.
 const FAILURE_LIMIT: u32 = 2;
 /// A worker on which runs fail gets nothing new for this long at first.
-const FAILURE_SHUN: TimeSpan = TimeSpan::from_millis(2_500);
-/// Longest time for which failures shun a worker.
-const LONGEST_SHUN: TimeSpan = TimeSpan::from_millis(10_000);
+const FAILURE_QUARANTINE: TimeSpan = TimeSpan::from_millis(2_500);
+/// Longest time for which failures quarantine a worker.
+const LONGEST_QUARANTINE: TimeSpan = TimeSpan::from_millis(10_000);
 
 impl JobCoordinator {
-    /// Looks at the workers whose turn has come.
-    pub(super) fn look_round(&mut self, now: TimePoint) {
+    /// Polls the workers whose turn has come.
+    pub(super) fn poll_round(&mut self, now: TimePoint) {
         if !self.has_authority(now) {
             return;
         }
         for slot in self.workers.slots() {
             let entry = self.workers.get(slot);
-            if !entry.is_looked_at() || entry.looking || entry.next_look > now {
+            if !entry.is_polled() || entry.polling || entry.next_poll > now {
                 continue;
             }
             let deadline_ms = self.lease_deadline(slot, now);
             let target = self.target(slot);
             let entry = self.workers.get_mut(slot);
-            entry.looking = true;
+            entry.polling = true;
             entry.granted_ms = entry.granted_ms.max(deadline_ms);
             let wait_ms = if entry.adopted && entry.misses == 0 {
-                LOOK_WAIT.as_millis()
+                POLL_WAIT.as_millis()
             } else {
                 0
             };
-            // Another life of the worker would forget ends that it has never listed.
-            let noted = if entry.misses > 0 { 0 } else { entry.noted };
-            self.effects.push(Effect::Look {
+            // Another incarnation of the worker would forget ends that it has never listed.
+            let acked = if entry.misses > 0 { 0 } else { entry.acked };
+            self.effects.push(Effect::Poll {
                 target,
                 deadline_ms,
-                noted,
+                acked,
                 wait_ms,
             });
         }
@@ -78,27 +78,27 @@
             .map_or(0, |clock| clock + span.as_millis())
     }
 
-    pub(super) fn on_looked(
+    pub(super) fn on_polled(
         &mut self,
         worker: WorkerSlot,
         deadline_ms: u64,
-        answer: LookAnswer,
+        answer: PollAnswer,
         now: TimePoint,
     ) {
         let entry = self.workers.get_mut(worker);
-        entry.looking = false;
+        entry.polling = false;
         entry.granted_ms = entry.granted_ms.max(deadline_ms);
         match answer {
-            LookAnswer::Fenced => self.step_down("look", worker),
-            LookAnswer::Lists {
+            PollAnswer::Fenced => self.step_down("poll", worker),
+            PollAnswer::Lists {
                 clock_ms,
                 born_ms,
                 running,
                 ended,
             } => self.on_lists(worker, clock_ms, born_ms, &running, ended, now),
-            LookAnswer::Missing | LookAnswer::Refused(_) | LookAnswer::OtherLife => {
+            PollAnswer::Missing | PollAnswer::Refused(_) | PollAnswer::OtherIncarnation => {
                 entry.misses += 1;
-                entry.next_look = now + LOOK_RETRY;
+                entry.next_poll = now + POLL_RETRY;
                 if entry.misses == 1 {
                     let id = entry.report.id.clone();
                     let age = now.since(entry.answered_at);
@@ -124,18 +124,18 @@
         let was_lost = entry.misses > 0;
         entry.misses = 0;
         entry.answered_at = now;
-        entry.next_look = now;
-        let other_life = entry.born_ms != born_ms;
-        if other_life && entry.born_ms != 0 {
+        entry.next_poll = now;
+        let other_incarnation = entry.born_ms != born_ms;
+        if other_incarnation && entry.born_ms != 0 {
             let listed = running.iter().map(|listed| listed.run);
             let listed: Vec<RunName> = listed.chain(ended.iter().map(|end| end.run)).collect();
             self.on_reborn(worker, born_ms, &listed, now);
         }
         let entry = self.workers.get_mut(worker);
-        if other_life {
+        if other_incarnation {
             entry.born_ms = born_ms;
             entry.seen = 0;
-            entry.noted = 0;
+            entry.acked = 0;
             entry.granted_ms = 0;
             entry.clock = None;
         }
@@ -167,10 +167,10 @@
         self.compare_runs(worker, clock_ms, running, now);
         self.pace_worker(worker, now);
         self.review_progress(worker, now);
-        self.note_ends(worker, now);
+        self.acknowledge_ends(worker, now);
     }
 
-    /// A worker has begun another life: what ran there is gone, but for what the new life lists.
+    /// A worker has begun another incarnation: what ran there is gone, but for what it lists now.
     fn on_reborn(&mut self, worker: WorkerSlot, born_ms: u64, listed: &[RunName], now: TimePoint) {
         let entry = self.workers.get(worker);
         let detail = format!(
@@ -192,10 +192,10 @@
                 continue;
             };
             match task.phase {
-                // A start on its way may reach the new life, which will answer it.
+                // A start on its way may reach the new incarnation, which will answer it.
                 TaskPhase::Starting | TaskPhase::Recording => {}
-                // A copy of a start may still come to the new life: bar it there first.
-                TaskPhase::Running if task.doubted => {
+                // A copy of a start may still come to the new incarnation: stop it there first.
+                TaskPhase::Running if task.start_unanswered => {
                     task.unsure = true;
                     self.order_stop(slot, "reborn");
                 }
@@ -204,7 +204,7 @@
         }
         let entry = self.workers.get_mut(worker);
         entry.inherited_until = TimePoint::EPOCH;
-        entry.lives += 1;
+        entry.ended_incarnations += 1;
     }
 
     /// Lets every task of a worker wait for another run.
@@ -265,7 +265,7 @@
             );
             return;
         };
-        let lasting = self.jobs.step(slot).is_some_and(|step| step.lasting);
+        let service = self.jobs.step(slot).is_some_and(|step| step.service);
         let started = self.jobs.task(slot).map_or(now, |task| task.since);
         self.log(
             "run_ended",
@@ -283,11 +283,11 @@
             task.checkpoint = end.checkpoint;
         }
         match end.end {
-            RunEnd::Done if !lasting => {
+            RunEnd::Done if !service => {
                 self.workers.get_mut(worker).failures = 0;
                 self.finish_task(slot, now);
             }
-            RunEnd::Failed => self.fail_task(slot, worker, lasting, now),
+            RunEnd::Failed => self.fail_task(slot, worker, service, now),
             RunEnd::Done
             | RunEnd::Stopped
             | RunEnd::Lapsed
@@ -353,20 +353,20 @@
         }
     }
 
-    fn fail_task(&mut self, slot: TaskSlot, worker: WorkerSlot, lasting: bool, now: TimePoint) {
+    fn fail_task(&mut self, slot: TaskSlot, worker: WorkerSlot, service: bool, now: TimePoint) {
         let entry = self.workers.get_mut(worker);
         entry.failures += 1;
         if entry.failures >= FAILURE_LIMIT {
             let doublings = (entry.failures - FAILURE_LIMIT).min(4);
-            let shun = FAILURE_SHUN
+            let quarantine = FAILURE_QUARANTINE
                 .scale(f64::from(1u32 << doublings))
-                .min(LONGEST_SHUN);
-            entry.shunned_until = now + shun;
+                .min(LONGEST_QUARANTINE);
+            entry.quarantined_until = now + quarantine;
             let detail = format!(
-                "worker={} failures={} for={shun}",
+                "worker={} failures={} for={quarantine}",
                 entry.report.id, entry.failures
             );
-            self.log("worker_shunned", None, detail);
+            self.log("worker_quarantined", None, detail);
         }
         self.release(slot, now, TimeSpan::ZERO);
         let Some(job) = self.jobs.get(slot.job) else {
@@ -384,7 +384,7 @@
             .jobs
             .get(slot.job)
             .is_some_and(|job| job.state.is_final());
-        if !lasting && failures >= limit && !over {
+        if !service && failures >= limit && !over {
             self.end_job(slot.job, JobState::Failed, now);
             self.log(
                 "job_failed",
@@ -422,10 +422,7 @@
             if let Some(value) = listed.gauge {
                 gauges.push(TaskGauge { slot, value });
             }
-            let over = self
-                .jobs
-                .get(slot.job)
-                .is_none_or(|job| job.state.is_final());
+            let over = self.is_over(slot.job);
             let Some(task) = self.jobs.task_mut(slot) else {
                 continue;
             };
@@ -463,7 +460,7 @@
             };
             let gone = match task.phase {
                 // The fencing token keeps a former coordinator's late start away.
-                TaskPhase::Limbo => true,
+                TaskPhase::Unverified => true,
                 TaskPhase::Running => !task.unsure && clock_ms > task.confirmed_ms,
                 TaskPhase::Waiting
                 | TaskPhase::Recording
@@ -476,7 +473,7 @@
         }
     }
 
-    pub(super) fn shun(
+    pub(super) fn quarantine(
         &mut self,
         worker: WorkerSlot,
         span: TimeSpan,
@@ -484,9 +481,9 @@
         now: TimePoint,
     ) {
         let entry = self.workers.get_mut(worker);
-        entry.shunned_until = entry.shunned_until.max(now + span);
+        entry.quarantined_until = entry.quarantined_until.max(now + span);
         let detail = format!("worker={} cause={cause} for={span}", entry.report.id);
-        self.log("worker_shunned", None, detail);
+        self.log("worker_quarantined", None, detail);
     }
 
     pub(super) fn step_down(&mut self, order: &'static str, worker: WorkerSlot) {
--- a/sapphirewalk_core/src/coordinator/recover.rs
+++ b/sapphirewalk_core/src/coordinator/recover.rs
@@ -1,21 +1,20 @@
-//! Taking office: what the record says, and what has to be waited out.
+//! Taking the leadership: what the record says, and what has to be waited out.
 
 use crate::coordinator::JobCoordinator;
 use crate::coordinator::JobRecord;
 use crate::coordinator::commit;
-use crate::coordinator::look;
-use crate::fill_pace::LearnedImage;
+use crate::coordinator::poll;
+use crate::image_interference::LearnedImage;
 use crate::job_book::JobEntry;
 use crate::job_book::JobProgress;
 use crate::job_book::JobState;
 use crate::job_book::TaskSlot;
 use crate::job_spec::JobId;
 use crate::time::TimePoint;
+use crate::worker_book;
 
 /// The fencing token of the first coordinator.
 const FIRST_FENCE: u64 = 1;
-/// Slack for slow clocks of workers when a predecessor's leases are waited out.
-const SLOW_CLOCK_FACTOR: f64 = 1.02;
 
 /// What the store holds of jobs.
 #[derive(Clone, Debug, Default)]
@@ -41,7 +40,7 @@
             learned,
         } = records;
         let images = learned.len();
-        self.pressure.take_over(learned, now);
+        self.interference.import(learned, now);
         progress.sort_unstable_by_key(|row| row.id);
         // The first coordinator of all has no predecessor whose leases could last.
         let inherited_until = if self.fence <= FIRST_FENCE {
@@ -51,7 +50,7 @@
         };
         let total = jobs.len();
         let mut unfinished = 0usize;
-        let mut limbo = 0usize;
+        let mut unverified = 0usize;
         for record in jobs {
             let accepted_at = record.accepted_at.min(now);
             let id = record.id;
@@ -68,7 +67,7 @@
                 unfinished += 1;
                 job.begin_due(now);
             }
-            limbo += placed.len();
+            unverified += placed.len();
             let Ok(slot) = self.jobs.insert(job) else {
                 continue;
             };
@@ -100,10 +99,10 @@
         self.inherit_leases(inherited_until);
         self.place_due = true;
         self.log(
-            "office_taken",
+            "leadership_started",
             None,
             format!(
-                "fence={} jobs={total} unfinished={unfinished} runs={limbo} images={images}",
+                "fence={} jobs={total} unfinished={unfinished} runs={unverified} images={images}",
                 self.fence
             ),
         );
@@ -123,8 +122,8 @@
 
     /// When the last lease is over that is given at a time.
     fn last_lease_after(&self, given_at: TimePoint) -> TimePoint {
-        let span = look::LEASE_SPAN.min(self.limits.longest_lease);
-        given_at + span.scale(SLOW_CLOCK_FACTOR)
+        let span = poll::LEASE_SPAN.min(self.limits.longest_lease);
+        given_at + span.scale(worker_book::SLOW_CLOCK_FACTOR)
     }
 
     fn inherit_leases(&mut self, until: TimePoint) {
--- a/sapphirewalk_core/src/coordinator/stall.rs
+++ b/sapphirewalk_core/src/coordinator/stall.rs
@@ -1,4 +1,4 @@
-//! Workers on which tasks stand still or crawl while their looks are answered.
+//! Workers on which tasks stand still or crawl while their polls are answered.
 //!
 //! Answers workers that hang or have turned slow: they get nothing new, and what would be done sooner
 //! elsewhere is stopped there and started again.
@@ -11,7 +11,7 @@
 use crate::worker_book::WorkerSlot;
 
 /// A task whose progress has not changed for this long stands still: longer than a restart from a
-/// checkpoint takes, and than the time between two looks.
+/// checkpoint takes, and than the time between two polls.
 const STALL_SPAN: TimeSpan = TimeSpan::from_millis(1_400);
 /// A rate is judged after this long at the least.
 const RATE_SPAN: TimeSpan = TimeSpan::from_millis(500);
@@ -21,8 +21,8 @@
 /// A task moves if it would take this many times as long to go on as to begin anew.
 const MOVE_FACTOR: f64 = 1.3;
 /// A worker on which tasks stand still or crawl gets nothing new for this long.
-const STALL_SHUN: TimeSpan = TimeSpan::from_millis(2_000);
-/// A filling task that is paced below this may crawl by our own doing.
+const STALL_QUARANTINE: TimeSpan = TimeSpan::from_millis(2_000);
+/// A best-effort task that is paced below this may crawl by our own doing.
 const JUDGED_PACE: u32 = 50;
 
 /// How a task gets on.
@@ -37,7 +37,7 @@
 }
 
 impl JobCoordinator {
-    /// Reviews how the tasks of a worker get on that has just been looked at.
+    /// Reviews how the tasks of a worker get on that has just been polled.
     pub(super) fn review_progress(&mut self, worker: WorkerSlot, now: TimePoint) {
         let mut lost = Vec::new();
         let mut slow = 0usize;
@@ -51,7 +51,7 @@
         if slow == 0 && lost.is_empty() {
             return;
         }
-        self.shun(worker, STALL_SHUN, "tasks_crawl", now);
+        self.quarantine(worker, STALL_QUARANTINE, "tasks_crawl", now);
         for slot in lost {
             if let Some(task) = self.jobs.task_mut(slot) {
                 task.avoid = Some(worker);
@@ -64,8 +64,8 @@
         let (Some(step), Some(task)) = (self.jobs.step(slot), self.jobs.task(slot)) else {
             return TaskProgress::Fine;
         };
-        let judged = task.phase == TaskPhase::Running && !task.stopping && !step.lasting;
-        if !judged || (step.filler && task.pace < JUDGED_PACE) {
+        let judged = task.phase == TaskPhase::Running && !task.stopping && !step.service;
+        if !judged || (step.best_effort && task.pace < JUDGED_PACE) {
             return TaskProgress::Fine;
         }
         if now.since(task.moved_at) >= STALL_SPAN {
@@ -73,7 +73,7 @@
         }
         let ran = now.since(task.since);
         let resumed = !task.checkpoint.is_empty();
-        if step.filler || resumed || ran < RATE_SPAN {
+        if step.best_effort || resumed || ran < RATE_SPAN {
             return TaskProgress::Fine;
         }
         let whole = step.estimate.as_secs_f64();
--- a/sapphirewalk_core/src/fill_pace.rs
+++ b/sapphirewalk_core/src/image_interference.rs
@@ -1,10 +1,10 @@
-//! How much filling tasks press on the lasting tasks beside them, learned by pairs of images.
+//! How much best-effort tasks interfere with the service tasks beside them, learned by pairs of images.
 //!
-//! The logarithm of a lasting task's tail, as a share of its target, is taken as a base for its
-//! image plus, for each filling image beside it, a weight of the pair times the share of the
+//! The logarithm of a service task's tail, as a share of its target, is taken as a base for its
+//! image plus, for each best-effort image beside it, a weight of the pair times the share of the
 //! worker's processor that the image uses. The weights are fitted by least squares without
-//! negative weights over recent samples. Most pairs turn out not to matter and a few press hard,
-//! so placing by pair keeps tails within targets where pacing everything would stop all filling.
+//! negative weights over recent samples. Most pairs turn out not to matter and a few interfere strongly,
+//! so placing by pair keeps tails within targets where pacing everything would stop all best-effort work.
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -20,15 +20,15 @@
 const REPORT_INTERVAL: TimeSpan = TimeSpan::from_millis(5_000);
 /// Sweeps of the fit over all weights; more change little, since each fit starts at the last.
 const FIT_SWEEPS: usize = 12;
-/// Pulls weights without evidence to 0; about one sample of a filler on a tenth of a worker.
+/// Pulls weights without evidence to 0; about one sample of a best-effort task on a tenth of a worker.
 const RIDGE: f64 = 0.02;
 /// Bounds of the logarithm, so that one stalled task doesn't outweigh all others.
 const LOG_BOUNDS: (f64, f64) = (-3.0, 2.0);
 
-/// Handed-on weights count as this many samples, some seconds' worth,
-const HANDED_ON_SAMPLES: f64 = 60.0;
-/// of fillers that used this share of a worker.
-const HANDED_ON_SHARE: f64 = 0.1;
+/// Imported weights count as this many samples, some seconds' worth,
+const IMPORTED_SAMPLES: f64 = 60.0;
+/// of best-effort tasks that used this share of a worker.
+const IMPORTED_SHARE: f64 = 0.1;
 
 /// An image among those seen.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -43,56 +43,56 @@
     pub share: f64,
 }
 
-/// Learns which filling images press on which lasting images.
+/// Learns which best-effort images interfere with which service images.
 #[derive(Debug, Default)]
-pub struct PressureModel {
+pub struct InterferenceModel {
     names: Vec<String>,
-    /// One fit for each lasting image, by key; none for images that only fill.
+    /// One fit for each service image, by key; none for best-effort images.
     fits: Vec<Option<ImageFit>>,
     next_fit: TimePoint,
     next_report: TimePoint,
 }
 
-/// The fit of one lasting image.
+/// The fit of one service image.
 #[derive(Debug)]
 struct ImageFit {
-    /// Filling images with a weight, sorted.
-    fillers: Vec<ImageKey>,
+    /// Best-effort images with a weight, sorted.
+    best_efforts: Vec<ImageKey>,
     /// Weighted sums of products of the features; the base's feature comes first and is 1.
     products: Vec<Vec<f64>>,
     /// Weighted sums of the features times the logarithm.
     targets: Vec<f64>,
-    /// The base, then the weights of the fillers.
+    /// The base, then the weights of the best-effort tasks.
     weights: Vec<f64>,
     aged_at: TimePoint,
     fresh: bool,
 }
 
-/// What has been learned of one lasting image, as a coordinator hands it on.
+/// What has been learned of one service image, as it is stored for a successor.
 #[derive(Clone, Debug, Default, PartialEq)]
 #[derive(Deserialize, Serialize)]
 pub struct LearnedImage {
-    /// The lasting image.
+    /// The service image.
     pub image: String,
     /// Logarithm of its tail over its target with nothing beside it.
     pub base: f64,
-    /// Filling images and the weight of each.
-    pub fillers: Vec<(String, f64)>,
+    /// Best-effort images and the weight of each.
+    pub best_efforts: Vec<(String, f64)>,
 }
 
 impl ImageFit {
-    /// A fit that some samples of the handed-on weights would have given.
-    fn handed_on(base: f64, fillers: Vec<(ImageKey, f64)>, now: TimePoint) -> Self {
+    /// A fit that some samples of the imported weights would have given.
+    fn imported(base: f64, best_efforts: Vec<(ImageKey, f64)>, now: TimePoint) -> Self {
         let mut fit = Self::new(now);
-        for (image, _) in &fillers {
+        for (image, _) in &best_efforts {
             fit.feature(*image);
         }
-        fit.products[0][0] = HANDED_ON_SAMPLES;
+        fit.products[0][0] = IMPORTED_SAMPLES;
         fit.weights[0] = base;
-        fit.targets[0] = HANDED_ON_SAMPLES * base;
-        for (image, weight) in fillers {
+        fit.targets[0] = IMPORTED_SAMPLES * base;
+        for (image, weight) in best_efforts {
             let at = fit.feature(image);
-            let evidence = HANDED_ON_SAMPLES * HANDED_ON_SHARE * HANDED_ON_SHARE;
+            let evidence = IMPORTED_SAMPLES * IMPORTED_SHARE * IMPORTED_SHARE;
             fit.products[at][at] = evidence;
             fit.weights[at] = weight;
             fit.targets[at] = evidence * weight;
@@ -102,7 +102,7 @@
 
     fn new(now: TimePoint) -> Self {
         Self {
-            fillers: Vec::new(),
+            best_efforts: Vec::new(),
             products: vec![vec![0.0]],
             targets: vec![0.0],
             weights: vec![UNSEEN_BASE],
@@ -111,12 +111,12 @@
         }
     }
 
-    /// The feature of a filling image, made if needed.
+    /// The feature of a best-effort image, made if needed.
     fn feature(&mut self, image: ImageKey) -> usize {
-        match self.fillers.binary_search(&image) {
+        match self.best_efforts.binary_search(&image) {
             Ok(place) => place + 1,
             Err(place) => {
-                self.fillers.insert(place, image);
+                self.best_efforts.insert(place, image);
                 let at = place + 1;
                 for row in &mut self.products {
                     row.insert(at, 0.0);
@@ -178,8 +178,8 @@
         }
     }
 
-    fn weight(&self, filler: ImageKey) -> f64 {
-        let found = self.fillers.binary_search(&filler);
+    fn weight(&self, best_effort: ImageKey) -> f64 {
+        let found = self.best_efforts.binary_search(&best_effort);
         found.map_or(0.0, |place| self.weights[place + 1])
     }
 }
@@ -187,18 +187,20 @@
 /// Logarithm of the tail over the target of an image without samples.
 const UNSEEN_BASE: f64 = -0.8;
 
-impl PressureModel {
-    /// What has been learned, to be handed on to a successor.
-    pub fn hand_on(&self) -> Vec<LearnedImage> {
+impl InterferenceModel {
+    /// What has been learned, to be stored for a successor.
+    pub fn export(&self) -> Vec<LearnedImage> {
         let fits = self.names.iter().zip(&self.fits);
         let learned = fits.filter_map(|(name, fit)| {
             let fit = fit.as_ref()?;
-            let weights = fit.fillers.iter().zip(&fit.weights[1..]);
+            let weights = fit.best_efforts.iter().zip(&fit.weights[1..]);
             Some(LearnedImage {
                 image: name.clone(),
                 base: fit.weights[0],
-                fillers: weights
-                    .map(|(filler, weight)| (self.names[filler.0 as usize].clone(), *weight))
+                best_efforts: weights
+                    .map(|(best_effort, weight)| {
+                        (self.names[best_effort.0 as usize].clone(), *weight)
+                    })
                     .collect(),
             })
         });
@@ -206,18 +208,18 @@
     }
 
     /// Takes over what a predecessor has learned.
-    pub fn take_over(&mut self, learned: Vec<LearnedImage>, now: TimePoint) {
+    pub fn import(&mut self, learned: Vec<LearnedImage>, now: TimePoint) {
         for image in learned {
-            let fillers = image.fillers.iter();
-            let fillers: Vec<(ImageKey, f64)> = fillers
+            let best_efforts = image.best_efforts.iter();
+            let best_efforts: Vec<(ImageKey, f64)> = best_efforts
                 .map(|(name, weight)| (self.intern(name), *weight))
                 .collect();
             let key = self.intern(&image.image);
-            self.fits[key.0 as usize] = Some(ImageFit::handed_on(image.base, fillers, now));
+            self.fits[key.0 as usize] = Some(ImageFit::imported(image.base, best_efforts, now));
         }
     }
 
-    /// What has been learned of each lasting image, as text, when a report is due.
+    /// What has been learned of each service image, as text, when a report is due.
     pub fn report(&mut self, now: TimePoint) -> Vec<String> {
         if now < self.next_report {
             return Vec::new();
@@ -232,9 +234,9 @@
                 "image={name} samples={:.0} base={:.2}",
                 fit.products[0][0], fit.weights[0]
             );
-            for (filler, weight) in fit.fillers.iter().zip(&fit.weights[1..]) {
-                let filler = &self.names[filler.0 as usize];
-                line.push_str(&format!(" presses.{filler}={weight:.1}"));
+            for (best_effort, weight) in fit.best_efforts.iter().zip(&fit.weights[1..]) {
+                let best_effort = &self.names[best_effort.0 as usize];
+                line.push_str(&format!(" interferes.{best_effort}={weight:.1}"));
             }
             lines.push(line);
         }
@@ -258,7 +260,7 @@
         u32::try_from(place).ok().map(ImageKey)
     }
 
-    /// Takes a sample: a lasting task's tail over its target, beside these filling images.
+    /// Takes a sample: a service task's tail over its target, beside these best-effort images.
     pub fn observe(&mut self, image: ImageKey, loads: &[ImageLoad], ratio: f64, now: TimePoint) {
         let log_tail = ratio.max(f64::MIN_POSITIVE).ln();
         let log_tail = log_tail.clamp(LOG_BOUNDS.0, LOG_BOUNDS.1);
@@ -273,21 +275,21 @@
         }
     }
 
-    /// By how much the logarithm of a lasting image's tail rises for each whole worker's
-    /// processor that a filling image uses.
-    pub fn weight(&self, lasting: ImageKey, filler: ImageKey) -> f64 {
-        let fit = self.fits[lasting.0 as usize].as_ref();
-        fit.map_or(0.0, |fit| fit.weight(filler))
+    /// By how much the logarithm of a service image's tail rises for each whole worker's
+    /// processor that a best-effort image uses.
+    pub fn weight(&self, service: ImageKey, best_effort: ImageKey) -> f64 {
+        let fit = self.fits[service.0 as usize].as_ref();
+        fit.map_or(0.0, |fit| fit.weight(best_effort))
     }
 
-    /// The expected logarithm of a lasting image's tail over its target beside these images.
-    pub fn expect(&self, lasting: ImageKey, loads: &[ImageLoad]) -> f64 {
-        let fit = self.fits[lasting.0 as usize].as_ref();
+    /// The expected logarithm of a service image's tail over its target beside these images.
+    pub fn expect(&self, service: ImageKey, loads: &[ImageLoad]) -> f64 {
+        let fit = self.fits[service.0 as usize].as_ref();
         let base = fit.map_or(UNSEEN_BASE, |fit| fit.weights[0]);
-        let pressure: f64 = loads
+        let interference: f64 = loads
             .iter()
-            .map(|load| self.weight(lasting, load.image) * load.share)
+            .map(|load| self.weight(service, load.image) * load.share)
             .sum();
-        base + pressure
+        base + interference
     }
 }
--- a/sapphirewalk_core/src/job_book.rs
+++ b/sapphirewalk_core/src/job_book.rs
@@ -52,14 +52,14 @@
     /// It has no run; its step may still wait for others.
     #[default]
     Waiting,
-    /// A worker is chosen; the run is not yet on record, so nothing has been sent.
+    /// A worker is chosen; the run is not yet committed, so nothing has been sent.
     Recording,
     /// The start was sent and not answered.
     Starting,
     /// The worker has said that it runs.
     Running,
     /// A run may exist on the worker, as a former coordinator recorded it.
-    Limbo,
+    Unverified,
     /// It is done.
     Done,
 }
@@ -89,15 +89,15 @@
     pub unsure: bool,
     /// The deadline of the present run's start on its worker's clock; 0 before it was sent.
     pub deadline_ms: u64,
-    /// Some start of the present run had no answer: a copy may come late, even to another life.
-    pub doubted: bool,
+    /// Some start of the present run had no answer: a copy may come late, even to another incarnation.
+    pub start_unanswered: bool,
     /// A stop has been ordered.
     pub stopping: bool,
     /// Progress in percent, as the worker last said.
     pub percent: u32,
     /// When its progress last changed.
     pub moved_at: TimePoint,
-    /// Share of its processor time that a filling task may use, in percent.
+    /// Share of its processor time that a best-effort task may use, in percent.
     pub pace: u32,
 }
 
@@ -203,7 +203,7 @@
     pub const fn is_placed(self) -> bool {
         matches!(
             self,
-            Self::Recording | Self::Starting | Self::Running | Self::Limbo
+            Self::Recording | Self::Starting | Self::Running | Self::Unverified
         )
     }
 }
@@ -405,7 +405,7 @@
             }
             let worker = kept.worker.and_then(|index| workers.get(index as usize));
             if let Some(worker) = worker {
-                task.phase = TaskPhase::Limbo;
+                task.phase = TaskPhase::Unverified;
                 task.worker = Some(*worker);
                 placed.push((kept.occurrence, kept.task, *worker));
             }
--- a/sapphirewalk_core/src/job_order.rs
+++ b/sapphirewalk_core/src/job_order.rs
@@ -30,8 +30,8 @@
     pub outlook: ObjectiveOutlook,
     /// The queue's priority.
     pub priority: u32,
-    /// Lasting work comes after work that ends.
-    pub lasting: bool,
+    /// Service work comes after work that ends.
+    pub service: bool,
     /// Size class of the work that the occurrence still takes: each is twice the one below.
     /// Where there is too little room, more jobs get done in time if small ones go first.
     pub size_class: u32,
@@ -56,8 +56,8 @@
     let span = objective(job, rule);
     let chain = job.chains[usize::from(step)];
     let start_by = occurrence.due_at + span - chain;
-    let lasting = job.spec.steps[usize::from(step)].lasting;
-    let outlook = if lasting || now <= start_by {
+    let service = job.spec.steps[usize::from(step)].service;
+    let outlook = if service || now <= start_by {
         ObjectiveOutlook::InTime
     } else if now + chain <= occurrence.due_at + span.scale(LATE_FACTOR) {
         ObjectiveOutlook::Late
@@ -67,7 +67,7 @@
     StepRank {
         outlook,
         priority: rule.priority,
-        lasting,
+        service,
         size_class: work_left(job, occurrence).max(1).ilog2(),
         start_by,
     }
--- a/sapphirewalk_core/src/job_spec.rs
+++ b/sapphirewalk_core/src/job_spec.rs
@@ -96,14 +96,14 @@
     /// Copies of a task may run at once.
     pub copies: bool,
     /// The tasks run until the job is cancelled.
-    pub lasting: bool,
+    pub service: bool,
     /// What the tasks run; tasks of one image behave alike.
     pub image: String,
-    /// Bound of the tail of a lasting task's response times; zero for none.
+    /// Bound of the tail of a service task's response times; zero for none.
     pub tail_target: TimeSpan,
     /// The tasks take the processor time that others leave and count for none of it.
-    pub filler: bool,
-    /// Most tasks of a lasting step that the scheduler may take down at once; 0 for no bound.
+    pub best_effort: bool,
+    /// Most tasks of a service step that the scheduler may take down at once; 0 for no bound.
     pub max_unavailable: u16,
 }
 
@@ -161,20 +161,6 @@
         self.steps.iter().map(|step| usize::from(step.count)).sum()
     }
 
-    /// The first task of a step among the tasks of an occurrence.
-    pub fn first_task(&self, step: u16) -> usize {
-        self.steps
-            .iter()
-            .take(usize::from(step))
-            .map(|before| usize::from(before.count))
-            .sum()
-    }
-
-    /// Whether any step runs until the job is cancelled.
-    pub fn lasts(&self) -> bool {
-        self.steps.iter().any(|step| step.lasting)
-    }
-
     /// The longest chain of estimates from each step to the end of the job, the step included.
     pub fn chains(&self) -> Vec<TimeSpan> {
         let mut chains: Vec<TimeSpan> = self.steps.iter().map(|step| step.estimate).collect();
--- a/sapphirewalk_core/src/worker_book.rs
+++ b/sapphirewalk_core/src/worker_book.rs
@@ -9,11 +9,11 @@
 use crate::time::TimeSpan;
 
 /// Workers' clocks may run this much slow, as the platform states.
-const SLOW_CLOCK_FACTOR: f64 = 1.02;
+pub const SLOW_CLOCK_FACTOR: f64 = 1.02;
 /// Added to the end of a lease before it counts as over, for the granularity of clocks.
 const LEASE_MARGIN: TimeSpan = TimeSpan::from_millis(50);
 
-/// A filling task's share of its processor time when nothing holds it back, in percent.
+/// A best-effort task's share of its processor time when nothing holds it back, in percent.
 pub const FULL_PACE: u32 = 100;
 
 /// A worker in the arena.
@@ -41,7 +41,7 @@
     pub draining: bool,
     /// The least time until it leaves; zero unless it is about to.
     pub leaves_in: TimeSpan,
-    /// When this life of it began, in Unix ms; 0 when it doesn't say.
+    /// When this incarnation of it began, in Unix ms; 0 when it doesn't say.
     pub born_ms: u64,
 }
 
@@ -54,12 +54,12 @@
     pub at: TimePoint,
 }
 
-/// A lasting task's tail, or another task's processor use, as its worker last said.
+/// A service task's tail, or another task's processor use, as its worker last said.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct TaskGauge {
     /// The task.
     pub slot: TaskSlot,
-    /// Milliseconds for a lasting task, thousandths of a core for any other.
+    /// Milliseconds for a service task, thousandths of a core for any other.
     pub value: f64,
 }
 
@@ -70,11 +70,11 @@
     pub report: WorkerReport,
     /// It stands in the list.
     pub listed: bool,
-    /// The life that answered last, in Unix ms; 0 before the first answer.
+    /// The incarnation that answered last, in Unix ms; 0 before the first answer.
     pub born_ms: u64,
-    /// Lives that were seen to end.
-    pub lives: u64,
-    /// It has answered a look under the present fencing token.
+    /// Incarnations that were seen to end.
+    pub ended_incarnations: u64,
+    /// It has answered a poll under the present fencing token.
     pub adopted: bool,
     /// The last reading of its clock.
     pub clock: Option<ClockReading>,
@@ -88,18 +88,18 @@
     pub used: ResourceVector,
     /// The highest end listed and handled.
     pub seen: u64,
-    /// The highest end that is on record and may be forgotten by the worker.
-    pub noted: u64,
-    /// A look is on its way.
-    pub looking: bool,
+    /// The highest end that is committed and may be forgotten by the worker.
+    pub acked: u64,
+    /// A poll is on its way.
+    pub polling: bool,
     /// No look before then.
-    pub next_look: TimePoint,
+    pub next_poll: TimePoint,
     /// When it last answered anything.
     pub answered_at: TimePoint,
     /// Answers missing in a row.
     pub misses: u32,
     /// Gets no new tasks until then.
-    pub shunned_until: TimePoint,
+    pub quarantined_until: TimePoint,
     /// Runs that failed in a row, with none done between.
     pub failures: u32,
     /// What its tasks last showed.
@@ -107,7 +107,7 @@
     /// When these were last learned from.
     pub sampled_at: TimePoint,
     /// Since when some tail there is over its target.
-    pub strained_since: Option<TimePoint>,
+    pub violating_since: Option<TimePoint>,
     /// Mean logarithm of the tails there over their targets, at the last sample.
     pub mean_tail: f64,
 }
@@ -125,7 +125,7 @@
             report,
             listed: false,
             born_ms: 0,
-            lives: 0,
+            ended_incarnations: 0,
             adopted: false,
             clock: None,
             granted_ms: 0,
@@ -133,16 +133,16 @@
             tasks: Vec::new(),
             used: ResourceVector::ZERO,
             seen: 0,
-            noted: 0,
-            looking: false,
-            next_look: TimePoint::EPOCH,
+            acked: 0,
+            polling: false,
+            next_poll: TimePoint::EPOCH,
             answered_at: TimePoint::EPOCH,
             misses: 0,
-            shunned_until: TimePoint::EPOCH,
+            quarantined_until: TimePoint::EPOCH,
             failures: 0,
             gauges: Vec::new(),
             sampled_at: TimePoint::EPOCH,
-            strained_since: None,
+            violating_since: None,
             mean_tail: f64::MIN,
         }
     }
@@ -173,12 +173,12 @@
         self.listed
             && self.adopted
             && !self.report.draining
-            && now >= self.shunned_until
+            && now >= self.quarantined_until
             && now.since(self.answered_at) <= silence
     }
 
-    /// Whether it is looked at: it stands in the list, or may still run something.
-    pub const fn is_looked_at(&self) -> bool {
+    /// Whether it is polled: it stands in the list, or may still run something.
+    pub const fn is_polled(&self) -> bool {
         (self.listed || !self.tasks.is_empty()) && self.report.address.port() != 0
     }
 
@@ -208,7 +208,7 @@
 /// What a task of the step counts against its worker's capacity.
 pub fn counted_demand(step: &StepSpec) -> ResourceVector {
     let mut demand = step.demand;
-    if step.filler {
+    if step.best_effort {
         demand.cpu_millis = 0;
     }
     demand
--- a/sapphirewalk_core/tests/coordinator/faults.rs
+++ b/sapphirewalk_core/tests/coordinator/faults.rs
@@ -116,19 +116,19 @@
 #[test]
 fn runs_on_lost_workers_are_repeated_soon_after_a_takeover() {
     for seed in 500..505 {
-        // Two workers go for good; before their leases are over, another coordinator takes office.
+        // Two workers go for good; before their leases are over, another coordinator takes the leadership.
         let plan = FaultPlan {
             crashes: vec![(1, 4_000, 600_000), (2, 4_000, 600_000)],
             takeovers: vec![8_500],
             ..FaultPlan::default()
         };
         let mut world = World::new(seed, WORKERS, plan);
-        let mut lasting = world::step(20, 1_000, 1_000, &[]);
-        lasting.lasting = true;
-        world.submit(1_000, 1, "lasting", vec![lasting]);
+        let mut service = world::step(20, 1_000, 1_000, &[]);
+        service.service = true;
+        world.submit(1_000, 1, "service", vec![service]);
         world.run_until(8_400);
         assert!(world.running(1) < 20);
-        // Calm again 3 s after the takeover; a lasting task may then be down for 7 s.
+        // Calm again 3 s after the takeover; a service task may then be down for 7 s.
         world.run_until(8_500 + 3_000 + 7_000 + 2_000);
         assert_eq!(world.running(1), 20, "seed {seed}");
         assert_eq!(world.breaches, Vec::<String>::new(), "seed {seed}");
@@ -143,9 +143,9 @@
         ..FaultPlan::default()
     };
     let mut world = World::new(1, WORKERS, plan);
-    let mut lasting = world::step(20, 1_000, 1_000, &[]);
-    lasting.lasting = true;
-    world.submit(1_000, 1, "lasting", vec![lasting]);
+    let mut service = world::step(20, 1_000, 1_000, &[]);
+    service.service = true;
+    world.submit(1_000, 1, "service", vec![service]);
     world.run_until(5_100);
     world.predecessor_ended();
     // The last lease of 8 s, 2% for slow clocks, and a restart.
--- a/sapphirewalk_core/tests/coordinator/load.rs
+++ b/sapphirewalk_core/tests/coordinator/load.rs
@@ -1,4 +1,4 @@
-//! Heavy load: bursts of bulk work beside urgent and lasting tasks.
+//! Heavy load: bursts of bulk work beside urgent and service tasks.
 
 use sapphirewalk_core::job_book::JobState;
 use sapphirewalk_core::job_spec::JobId;
@@ -36,20 +36,20 @@
     assert_eq!(world.completed.len(), 104);
 }
 
-/// Lasting tasks on all workers, then filling work of which one image presses on one of theirs.
+/// Service tasks on all workers, then best-effort work of which one image interferes with one of theirs.
 fn harm_world(seed: u64, plan: FaultPlan) -> World {
     let mut world = World::new(seed, 16, plan);
-    world.pressing = vec![("f0".to_owned(), "s0".to_owned())];
+    world.interfering = vec![("f0".to_owned(), "s0".to_owned())];
     for id in 0..16 {
         let mut step = world::step(4, 3_000, 1_000, &[]);
-        step.lasting = true;
+        step.service = true;
         step.image = format!("s{}", id % 2);
         step.tail_target = TimeSpan::from_millis(18);
-        world.submit(500 + id * 20, id, "lasting", vec![step]);
+        world.submit(500 + id * 20, id, "service", vec![step]);
     }
     for id in 0..60 {
         let mut step = world::step(8, 1_500, 1_500, &[]);
-        step.filler = true;
+        step.best_effort = true;
         step.image = format!("f{}", id % 2);
         world.submit(3_000 + id * 200, 100 + id, "bulk", vec![step]);
     }
@@ -62,11 +62,11 @@
         let mut world = harm_world(seed, FaultPlan::default());
         world.run_until(40_000);
         assert_eq!(world.breaches, Vec::<String>::new());
-        // 16 workers for 12 s of filling; a tenth of it may pass while the pairs are learned.
+        // 16 workers for 12 s of best-effort work; a tenth of it may pass while the pairs are learned.
         assert!(
-            world.strained_ms < 19_200,
+            world.violating_ms < 19_200,
             "seed {seed}: {}",
-            world.strained_ms
+            world.violating_ms
         );
         let in_time = (100..160)
             .filter(|id| {
@@ -99,9 +99,9 @@
             world.run_until(40_000);
             assert_eq!(world.breaches, Vec::<String>::new());
             if forgets {
-                begun_anew += world.strained_ms;
+                begun_anew += world.violating_ms;
             } else {
-                handed_on += world.strained_ms;
+                handed_on += world.violating_ms;
             }
         }
     }
@@ -144,7 +144,7 @@
         (5, 2_500, 8_500, 0.15),
     ];
     let in_time = urgent_beside_hanging(slow);
-    // Jobs are caught until the first look that shows it; without the review 45 are in time.
+    // Jobs are caught until the first poll that shows it; without the review 45 are in time.
     assert!(in_time >= 50, "{in_time} of 60 in time");
     assert_eq!(urgent_beside_hanging(Vec::new()), 60);
 }
@@ -152,19 +152,19 @@
 #[test]
 fn no_job_waits_with_nothing_running_where_half_of_the_pool_is_free() {
     let mut world = World::new(7, 8, FaultPlan::default());
-    world.pressing = vec![("f0".to_owned(), "s0".to_owned())];
-    let mut lasting = world::step(8, 5_000, 1_000, &[]);
-    lasting.lasting = true;
-    lasting.image = "s0".to_owned();
-    lasting.tail_target = TimeSpan::from_millis(14);
-    world.submit(500, 1, "lasting", vec![lasting]);
+    world.interfering = vec![("f0".to_owned(), "s0".to_owned())];
+    let mut service = world::step(8, 5_000, 1_000, &[]);
+    service.service = true;
+    service.image = "s0".to_owned();
+    service.tail_target = TimeSpan::from_millis(14);
+    world.submit(500, 1, "service", vec![service]);
     for id in 0..24 {
         let mut step = world::step(4, 3_000, 2_000, &[]);
-        step.filler = true;
+        step.best_effort = true;
         step.image = "f0".to_owned();
         world.submit(3_000 + id * 50, 100 + id, "bulk", vec![step]);
     }
-    // Every worker has a lasting task on which these press, and a third of it is claimed.
+    // Every worker has a service task on which these press, and a third of it is claimed.
     world.run_until(7_000);
     for at in [8_000, 11_000, 14_000, 17_000] {
         let before: Vec<(u64, u32)> = (100..124).map(|id| (id, world.starts_of(id))).collect();
--- a/sapphirewalk_core/tests/coordinator/order.rs
+++ b/sapphirewalk_core/tests/coordinator/order.rs
@@ -19,7 +19,7 @@
     assert_eq!(world.breaches, Vec::<String>::new());
     assert_eq!(world.shown(7), Some(JobState::Completed));
     let took = world.completed[&sapphirewalk_core::job_spec::JobId(7)];
-    // The chain takes 1200 ms; records, orders and looks add some 30 ms to each step.
+    // The chain takes 1200 ms; records, orders and polls add some 30 ms to each step.
     assert!(took < 1_400, "took {took} ms");
 }
 
@@ -78,9 +78,9 @@
 #[test]
 fn tasks_move_off_a_worker_that_is_about_to_leave() {
     let mut world = World::new(6, 4, FaultPlan::default());
-    let mut lasting = world::step(8, 1_000, 1_000, &[]);
-    lasting.lasting = true;
-    world.submit(1_000, 7, "lasting", vec![lasting]);
+    let mut service = world::step(8, 1_000, 1_000, &[]);
+    service.service = true;
+    world.submit(1_000, 7, "service", vec![service]);
     world.submit(1_000, 8, "bulk", vec![world::step(8, 500, 60_000, &[])]);
     world.submit(2_500, 9, "bulk", vec![world::step(8, 500, 800, &[])]);
     world.run_until(2_900);
--- a/sapphirewalk_core/tests/coordinator/world.rs
+++ b/sapphirewalk_core/tests/coordinator/world.rs
@@ -15,11 +15,11 @@
 use sapphirewalk_core::coordinator::JobRecords;
 use sapphirewalk_core::coordinator::ListedEnd;
 use sapphirewalk_core::coordinator::ListedRun;
-use sapphirewalk_core::coordinator::LookAnswer;
 use sapphirewalk_core::coordinator::OrderAnswer;
 use sapphirewalk_core::coordinator::OrderTarget;
+use sapphirewalk_core::coordinator::PollAnswer;
 use sapphirewalk_core::coordinator::RunEnd;
-use sapphirewalk_core::fill_pace::LearnedImage;
+use sapphirewalk_core::image_interference::LearnedImage;
 use sapphirewalk_core::job_book::JobProgress;
 use sapphirewalk_core::job_book::JobState;
 use sapphirewalk_core::job_spec::JobId;
@@ -53,7 +53,7 @@
     pub lost_answers: f64,
     /// Share of batches that are recorded and not answered.
     pub lost_records: f64,
-    /// Times at which another coordinator takes office while the former one goes on.
+    /// Times at which another coordinator takes the leadership while the former one goes on.
     pub takeovers: Vec<u64>,
     /// Workers that are cut off: which, from, to.
     pub cuts: Vec<(usize, u64, u64)>,
@@ -75,9 +75,9 @@
     fails: bool,
     stopping: bool,
     demand: ResourceVector,
-    lasting: bool,
+    service: bool,
     pace: u32,
-    filler: bool,
+    best_effort: bool,
     image: String,
     gone_at: u64,
     left_ms: f64,
@@ -102,19 +102,19 @@
 
 enum Action {
     Deliver {
-        office: usize,
+        leader: usize,
         worker: usize,
         order: Order,
         late: bool,
-        /// The life of the worker that received the order.
+        /// The incarnation of the worker that received the order.
         born_ms: u64,
     },
     Answer {
-        office: usize,
+        leader: usize,
         event: Event,
     },
     Record {
-        office: usize,
+        leader: usize,
         batch: CommitBatch,
         answered: bool,
     },
@@ -140,10 +140,10 @@
         target: OrderTarget,
         run: RunName,
     },
-    Look {
+    Poll {
         target: OrderTarget,
         deadline_ms: u64,
-        noted: u64,
+        acked: u64,
         until_ms: u64,
     },
     Pace {
@@ -159,7 +159,7 @@
     action: Action,
 }
 
-struct Office {
+struct Leader {
     coordinator: JobCoordinator,
     fence: u64,
     alive: bool,
@@ -174,7 +174,7 @@
     queue: collections::BinaryHeap<Entry>,
     order: u64,
     workers: Vec<ModelWorker>,
-    offices: Vec<Office>,
+    leaders: Vec<Leader>,
     rules: WorkRules,
     jobs: Vec<JobRecord>,
     cancelled: Vec<JobId>,
@@ -183,8 +183,8 @@
     learned: Vec<LearnedImage>,
     done: collections::BTreeMap<TaskName, RunName>,
     failures: collections::BTreeMap<TaskName, u32>,
-    /// Runs whose end `done` was noted.
-    noted: collections::BTreeSet<RunName>,
+    /// Runs whose end `done` was acknowledged.
+    acked: collections::BTreeSet<RunName>,
     /// Runs that were done and whose task was started again.
     restarted: collections::BTreeSet<RunName>,
     /// Starts by task.
@@ -193,16 +193,16 @@
     pub completed: collections::BTreeMap<JobId, u64>,
     /// What was broken.
     pub breaches: Vec<Breach>,
-    /// Time that lasting tasks were over their target, in ms.
-    pub strained_ms: u64,
+    /// Time that service tasks were over their target, in ms.
+    pub violating_ms: u64,
     /// Orders that were turned away for want of room.
     pub no_room: u32,
     /// The store loses what was learned of images.
     pub forgets_learned: bool,
     /// Workers that are about to leave.
     pub leaving: Vec<usize>,
-    /// Pairs of filling and lasting images that press on one another.
-    pub pressing: Vec<(String, String)>,
+    /// Pairs of best-effort work and service images that interfere with one another.
+    pub interfering: Vec<(String, String)>,
 }
 
 impl PartialEq for Entry {
@@ -230,7 +230,7 @@
         match self {
             Self::Start { target, .. }
             | Self::Stop { target, .. }
-            | Self::Look { target, .. }
+            | Self::Poll { target, .. }
             | Self::Pace { target, .. } => target,
         }
     }
@@ -245,7 +245,7 @@
             queue: collections::BinaryHeap::new(),
             order: 0,
             workers: Vec::new(),
-            offices: Vec::new(),
+            leaders: Vec::new(),
             rules: rules(),
             jobs: Vec::new(),
             cancelled: Vec::new(),
@@ -254,16 +254,16 @@
             learned: Vec::new(),
             done: collections::BTreeMap::new(),
             failures: collections::BTreeMap::new(),
-            noted: collections::BTreeSet::new(),
+            acked: collections::BTreeSet::new(),
             restarted: collections::BTreeSet::new(),
             starts: collections::BTreeMap::new(),
             completed: collections::BTreeMap::new(),
             breaches: Vec::new(),
-            strained_ms: 0,
+            violating_ms: 0,
             no_room: 0,
             forgets_learned: false,
             leaving: Vec::new(),
-            pressing: Vec::new(),
+            interfering: Vec::new(),
         };
         for number in 0..workers {
             world.workers.push(ModelWorker::new(number));
@@ -316,20 +316,20 @@
         }
     }
 
-    /// The state that the coordinator in office shows.
+    /// The state that the leader shows.
     pub fn shown(&self, id: u64) -> Option<JobState> {
-        let office = self.offices.iter().rev().find(|office| office.alive)?;
-        office.coordinator.shown_state(JobId(id))
+        let leader = self.leaders.iter().rev().find(|leader| leader.alive)?;
+        leader.coordinator.shown_state(JobId(id))
     }
 
-    /// The predecessors' processes end, and the one in office learns of it.
+    /// The predecessors' processes end, and the leader learns of it.
     pub fn predecessor_ended(&mut self) {
         let now = self.now();
-        let last = self.offices.len() - 1;
-        for office in &mut self.offices[..last] {
-            office.alive = false;
+        let last = self.leaders.len() - 1;
+        for leader in &mut self.leaders[..last] {
+            leader.alive = false;
         }
-        self.offices[last].coordinator.predecessor_ended(now);
+        self.leaders[last].coordinator.predecessor_ended(now);
     }
 
     /// Starts of a job's tasks so far.
@@ -377,21 +377,21 @@
                 self.cancelled.push(id);
                 self.tell_all(&Event::Cancelled(id));
             }
-            Action::Wake(office) => self.run_office(office),
-            Action::Answer { office, event } => {
-                if self.offices[office].alive {
+            Action::Wake(leader) => self.run_leader(leader),
+            Action::Answer { leader, event } => {
+                if self.leaders[leader].alive {
                     let now = self.now();
-                    self.offices[office].coordinator.handle(event, now);
-                    self.run_office(office);
+                    self.leaders[leader].coordinator.handle(event, now);
+                    self.run_leader(leader);
                 }
             }
             Action::Record {
-                office,
+                leader,
                 batch,
                 answered,
-            } => self.record(office, batch, answered),
+            } => self.record(leader, batch, answered),
             Action::Deliver {
-                office,
+                leader,
                 worker,
                 order,
                 late,
@@ -399,7 +399,7 @@
             } => {
                 // A worker that has crashed since can't carry out what it had put off.
                 if !late || self.workers[worker].born_ms == born_ms {
-                    self.deliver(office, worker, order, late);
+                    self.deliver(leader, worker, order, late);
                 }
             }
             Action::Crash(worker) => self.crash(worker),
@@ -442,7 +442,7 @@
             };
             coordinator.restore(records, now);
         }
-        self.offices.push(Office {
+        self.leaders.push(Leader {
             coordinator,
             fence,
             alive: true,
@@ -453,10 +453,10 @@
 
     fn tell_all(&mut self, event: &Event) {
         let now = self.now();
-        for number in 0..self.offices.len() {
-            if self.offices[number].alive {
-                self.offices[number].coordinator.handle(event.clone(), now);
-                self.run_office(number);
+        for number in 0..self.leaders.len() {
+            if self.leaders[number].alive {
+                self.leaders[number].coordinator.handle(event.clone(), now);
+                self.run_leader(number);
             }
         }
     }
@@ -481,38 +481,38 @@
             })
             .collect();
         let now = self.now();
-        for number in 0..self.offices.len() {
-            if self.offices[number].alive {
-                let office = &mut self.offices[number];
-                office.coordinator.set_workers(reports.clone(), now);
-                self.run_office(number);
+        for number in 0..self.leaders.len() {
+            if self.leaders[number].alive {
+                let leader = &mut self.leaders[number];
+                leader.coordinator.set_workers(reports.clone(), now);
+                self.run_leader(number);
             }
         }
     }
 
-    fn run_office(&mut self, number: usize) {
-        if !self.offices[number].alive {
+    fn run_leader(&mut self, number: usize) {
+        if !self.leaders[number].alive {
             return;
         }
         let now = self.now();
-        let effects = self.offices[number].coordinator.run(now);
+        let effects = self.leaders[number].coordinator.run(now);
         for effect in effects {
             self.perform(number, effect);
         }
-        let office = &mut self.offices[number];
-        let wake = office.coordinator.next_wake(now).as_millis() + 1;
+        let leader = &mut self.leaders[number];
+        let wake = leader.coordinator.next_wake(now).as_millis() + 1;
         let wake = wake.max(self.now_ms + 1);
-        if office.alive && (office.woken_for <= self.now_ms || wake < office.woken_for) {
-            office.woken_for = wake;
+        if leader.alive && (leader.woken_for <= self.now_ms || wake < leader.woken_for) {
+            leader.woken_for = wake;
             self.schedule(wake, Action::Wake(number));
         }
     }
 
-    fn perform(&mut self, office: usize, effect: Effect) {
+    fn perform(&mut self, leader: usize, effect: Effect) {
         let order = match effect {
             Effect::Log(_) => return,
             Effect::StepDown => {
-                self.offices[office].alive = false;
+                self.leaders[leader].alive = false;
                 return;
             }
             Effect::Commit(batch) => {
@@ -522,7 +522,7 @@
                 self.schedule(
                     at,
                     Action::Record {
-                        office,
+                        leader,
                         batch,
                         answered,
                     },
@@ -551,15 +551,15 @@
                 run,
                 percent,
             },
-            Effect::Look {
+            Effect::Poll {
                 target,
                 deadline_ms,
-                noted,
+                acked,
                 wait_ms,
-            } => Order::Look {
+            } => Order::Poll {
                 target,
                 deadline_ms,
-                noted,
+                acked,
                 until_ms: self.now_ms + wait_ms,
             },
         };
@@ -567,12 +567,12 @@
         let worker = self.workers.iter().position(|worker| worker.id == id);
         let worker = worker.expect("orders go to workers that were listed");
         let born_ms = self.workers[worker].born_ms;
-        let late = !matches!(order, Order::Look { .. }) && self.chance(self.plan.late_orders);
+        let late = !matches!(order, Order::Poll { .. }) && self.chance(self.plan.late_orders);
         if late {
             let at = self.now_ms + self.rng.random_range(2_000..12_000);
             let missing = missing(&order);
             let deliver = Action::Deliver {
-                office,
+                leader,
                 worker,
                 order,
                 late,
@@ -583,14 +583,14 @@
             self.schedule(
                 at,
                 Action::Answer {
-                    office,
+                    leader,
                     event: missing,
                 },
             );
         } else {
             let at = self.now_ms + self.rng.random_range(1..4);
             let deliver = Action::Deliver {
-                office,
+                leader,
                 worker,
                 order,
                 late,
@@ -611,7 +611,7 @@
             .any(|(cut, from, to)| *cut == worker && (*from..*to).contains(&since))
     }
 
-    fn record(&mut self, office: usize, batch: CommitBatch, answered: bool) {
+    fn record(&mut self, leader: usize, batch: CommitBatch, answered: bool) {
         let since = self.now_ms - START_MS;
         let outages = &self.plan.outages;
         let out = outages
@@ -622,15 +622,15 @@
             self.schedule(
                 at,
                 Action::Record {
-                    office,
+                    leader,
                     batch,
                     answered,
                 },
             );
             return;
         }
-        if self.offices[office].fence != self.store_fence {
-            self.offices[office].alive = false;
+        if self.leaders[leader].fence != self.store_fence {
+            self.leaders[leader].alive = false;
             return;
         }
         if let Some(learned) = batch.learned.filter(|_| !self.forgets_learned) {
@@ -649,7 +649,7 @@
         let delay = if answered { 2 } else { 900 };
         let at = self.now_ms + delay;
         let event = Event::Committed(batch.number);
-        self.schedule(at, Action::Answer { office, event });
+        self.schedule(at, Action::Answer { leader, event });
     }
 
     fn check_completed(&mut self, id: JobId) {
@@ -670,32 +670,32 @@
         }
     }
 
-    fn deliver(&mut self, office: usize, worker: usize, order: Order, late: bool) {
+    fn deliver(&mut self, leader: usize, worker: usize, order: Order, late: bool) {
         if !self.workers[worker].up || self.is_cut(worker) {
             if !late {
                 let at = self.now_ms + 500;
                 let event = missing(&order);
-                self.schedule(at, Action::Answer { office, event });
+                self.schedule(at, Action::Answer { leader, event });
             }
             return;
         }
-        if let Order::Look {
+        if let Order::Poll {
             target,
-            noted,
+            acked,
             until_ms,
             ..
         } = &order
         {
             // The worker waits for an end before it answers.
             let model = &self.workers[worker];
-            let quiet = model.ends.iter().all(|end| end.number <= *noted);
+            let quiet = model.ends.iter().all(|end| end.number <= *acked);
             let model_born = model.born_ms;
             if quiet && *until_ms > self.now_ms && target.fence >= model.fence {
                 let at = self.now_ms + 5;
                 self.schedule(
                     at,
                     Action::Deliver {
-                        office,
+                        leader,
                         worker,
                         order,
                         late,
@@ -716,7 +716,7 @@
             (self.rng.random_range(1..4), event)
         };
         let at = self.now_ms + delay;
-        self.schedule(at, Action::Answer { office, event });
+        self.schedule(at, Action::Answer { leader, event });
     }
 
     fn carry_out(&mut self, number: usize, order: &Order) -> Event {
@@ -725,7 +725,7 @@
         let fence = order.target().fence;
         let clock_ms = self.workers[number].clock(now_ms);
         if fence < self.workers[number].fence {
-            return answer(order, OrderAnswer::Fenced, LookAnswer::Fenced);
+            return answer(order, OrderAnswer::Fenced, PollAnswer::Fenced);
         }
         self.workers[number].fence = fence;
         let accepted = OrderAnswer::Accepted { clock_ms };
@@ -737,7 +737,7 @@
                 ..
             } => {
                 let given = self.start(number, *run, spec, *deadline_ms);
-                answer(order, given, LookAnswer::Missing)
+                answer(order, given, PollAnswer::Missing)
             }
             Order::Stop { run, .. } => {
                 let worker = &mut self.workers[number];
@@ -749,33 +749,33 @@
                         known.gone_at = now_ms + STOP_MS;
                     }
                 }
-                answer(order, accepted, LookAnswer::Missing)
+                answer(order, accepted, PollAnswer::Missing)
             }
             Order::Pace { run, percent, .. } => {
                 let worker = &mut self.workers[number];
                 for known in worker.runs.iter_mut().filter(|known| known.name == *run) {
                     known.pace = *percent;
                 }
-                answer(order, accepted, LookAnswer::Missing)
+                answer(order, accepted, PollAnswer::Missing)
             }
-            Order::Look {
-                deadline_ms, noted, ..
+            Order::Poll {
+                deadline_ms, acked, ..
             } => {
                 let tails = self.tails(number);
                 let worker = &mut self.workers[number];
                 worker.deadline_ms = worker.granted(*deadline_ms, now_ms);
                 let void_ends = worker.void_ends;
-                for end in worker.ends.iter().filter(|end| end.number <= *noted) {
+                for end in worker.ends.iter().filter(|end| end.number <= *acked) {
                     if end.end == RunEnd::Done && end.number > void_ends {
-                        self.noted.insert(end.run);
+                        self.acked.insert(end.run);
                     }
                 }
-                worker.ends.retain(|end| end.number > *noted);
-                let twice = self.restarted.intersection(&self.noted);
+                worker.ends.retain(|end| end.number > *acked);
+                let twice = self.restarted.intersection(&self.acked);
                 let twice: Vec<RunName> = twice.copied().collect();
                 for done in twice {
                     self.restarted.remove(&done);
-                    let breach = format!("{done} is noted, and its task was started again");
+                    let breach = format!("{done} is acked, and its task was started again");
                     self.breaches.push(breach);
                 }
                 let worker = &mut self.workers[number];
@@ -785,7 +785,7 @@
                     percent: run.percent(),
                     gauge: Some(gauge),
                 });
-                let lists = LookAnswer::Lists {
+                let lists = PollAnswer::Lists {
                     clock_ms,
                     born_ms: worker.born_ms,
                     running: running.collect(),
@@ -796,28 +796,28 @@
         }
     }
 
-    /// Tails of lasting tasks in ms, processor use of others in thousandths of a core.
+    /// Tails of service tasks in ms, processor use of others in thousandths of a core.
     fn tails(&self, number: usize) -> Vec<f64> {
         let worker = &self.workers[number];
         let capacity = worker.capacity.cpu_millis as f64;
         let claim = |run: &ModelRun| run.demand.cpu_millis as f64 * f64::from(run.pace) / 100.0;
         let mut gauges = Vec::new();
         for run in &worker.runs {
-            if !run.lasting {
+            if !run.service {
                 gauges.push(claim(run));
                 continue;
             }
-            let pressure: f64 = worker
+            let interference: f64 = worker
                 .runs
                 .iter()
-                .filter(|other| other.filler)
+                .filter(|other| other.best_effort)
                 .filter(|other| {
                     let pair = (other.image.clone(), run.image.clone());
-                    self.pressing.contains(&pair)
+                    self.interfering.contains(&pair)
                 })
                 .map(|other| claim(other) / capacity * 6.0)
                 .sum();
-            gauges.push((8.0 * pressure.exp()).round());
+            gauges.push((8.0 * interference.exp()).round());
         }
         gauges
     }
@@ -849,12 +849,12 @@
         }
         let step = &spec.steps[usize::from(run.task.step)];
         let mut demand = step.demand;
-        if step.filler {
+        if step.best_effort {
             demand.cpu_millis = 0;
         }
         let used = worker.runs.iter().fold(ResourceVector::ZERO, |sum, known| {
             let mut counted = known.demand;
-            if known.filler {
+            if known.best_effort {
                 counted.cpu_millis = 0;
             }
             sum + counted
@@ -870,9 +870,9 @@
             fails,
             stopping: false,
             demand: step.demand,
-            lasting: step.lasting,
+            service: step.service,
             pace: 100,
-            filler: step.filler,
+            best_effort: step.best_effort,
             image: step.image.clone(),
             gone_at: u64::MAX,
             left_ms: work as f64,
@@ -898,9 +898,9 @@
                 .push(format!("{run} runs twice at {}", self.now_ms));
         }
         if let Some(done) = self.done.get(&task) {
-            if self.noted.contains(done) {
+            if self.acked.contains(done) {
                 self.breaches
-                    .push(format!("{run} starts after {done} was noted"));
+                    .push(format!("{run} starts after {done} was acked"));
             }
             self.restarted.insert(*done);
         }
@@ -920,14 +920,14 @@
         }
         let limit = self.rules.queues[0].max_attempts;
         let failures = self.failures.get(&task).copied().unwrap_or(0);
-        if !step.lasting && failures >= limit {
+        if !step.service && failures >= limit {
             self.breaches
                 .push(format!("{run} starts after {failures} failures"));
         }
     }
 
     fn crash(&mut self, number: usize) {
-        // What was done there and not noted is lost with it, and may run again.
+        // What was done there and not acknowledged is lost with it, and may run again.
         let worker = &mut self.workers[number];
         worker.up = false;
         worker.runs.clear();
@@ -944,7 +944,7 @@
         if worker.clock(now_ms) < worker.deadline_ms {
             return;
         }
-        // Ends that were not noted when the lease ran out don't count, even if they are noted later.
+        // Ends that were not acknowledged when the lease ran out don't count, even if they are acknowledged later.
         if !worker.runs.is_empty() || worker.deadline_ms > 0 {
             worker.void_ends = worker.next_end - 1;
         }
@@ -966,22 +966,22 @@
                 .runs
                 .iter()
                 .zip(&tails)
-                .any(|(run, tail)| run.lasting && *tail > 18.0);
+                .any(|(run, tail)| run.service && *tail > 18.0);
             if over {
-                self.strained_ms += 5;
+                self.violating_ms += 5;
             }
             let worker = &mut self.workers[number];
             let capacity = worker.capacity.cpu_millis as f64;
             let fixed: f64 = worker
                 .runs
                 .iter()
-                .filter(|run| !run.filler)
-                .map(|run| run.demand.cpu_millis as f64 * if run.lasting { 0.42 } else { 1.0 })
+                .filter(|run| !run.best_effort)
+                .map(|run| run.demand.cpu_millis as f64 * if run.service { 0.42 } else { 1.0 })
                 .sum();
             let wanted: f64 = worker
                 .runs
                 .iter()
-                .filter(|run| run.filler)
+                .filter(|run| run.best_effort)
                 .map(|run| run.demand.cpu_millis as f64 * f64::from(run.pace) / 100.0)
                 .sum();
             let speed = if wanted > 0.0 {
@@ -999,7 +999,7 @@
             let mut ended = Vec::new();
             for run in &mut worker.runs {
                 let rate = pulse
-                    * if run.filler {
+                    * if run.best_effort {
                         speed * f64::from(run.pace) / 100.0
                     } else {
                         1.0
@@ -1009,7 +1009,7 @@
                     if now_ms >= run.gone_at {
                         ended.push((run.name, RunEnd::Stopped));
                     }
-                } else if !run.lasting && run.left_ms <= 0.0 {
+                } else if !run.service && run.left_ms <= 0.0 {
                     let end = if run.fails {
                         RunEnd::Failed
                     } else {
@@ -1036,7 +1036,7 @@
 
 impl ModelRun {
     fn percent(&self) -> u32 {
-        if self.lasting {
+        if self.service {
             return 100;
         }
         let done = 1.0 - self.left_ms / self.work_ms.max(1.0);
@@ -1103,7 +1103,7 @@
     };
     WorkRules {
         version: 1,
-        queues: vec![queue("bulk", 2), queue("lasting", 0), queue("urgent", 0)],
+        queues: vec![queue("bulk", 2), queue("service", 0), queue("urgent", 0)],
         pools: vec![PoolRule {
             name: "pool".to_owned(),
             guards: true,
@@ -1114,10 +1114,10 @@
 }
 
 fn missing(order: &Order) -> Event {
-    answer(order, OrderAnswer::Missing, LookAnswer::Missing)
+    answer(order, OrderAnswer::Missing, PollAnswer::Missing)
 }
 
-fn answer(order: &Order, given: OrderAnswer, lists: LookAnswer) -> Event {
+fn answer(order: &Order, given: OrderAnswer, lists: PollAnswer) -> Event {
     let worker = order.target().worker;
     match order {
         Order::Start { run, .. } => Event::Started {
@@ -1136,7 +1136,7 @@
             percent: *percent,
             answer: given,
         },
-        Order::Look { deadline_ms, .. } => Event::Looked {
+        Order::Poll { deadline_ms, .. } => Event::Polled {
             worker,
             deadline_ms: *deadline_ms,
             answer: lists,
--- a/sapphirewalk_stand_in/src/fleet/process.rs
+++ b/sapphirewalk_stand_in/src/fleet/process.rs
@@ -61,8 +61,9 @@
     }
 
     pub fn signal(&mut self, signal: unix_process::Signal) -> Result<(), FleetError> {
-        let has_ended = self.exit_status().is_some();
-        let Some(child) = self.child.as_ref().filter(|_| !has_ended) else {
+        // Says how a process has ended, with the end of its log.
+        self.check_running()?;
+        let Some(child) = self.child.as_ref() else {
             return Err(FleetError::NotRunning {
                 process: self.name.clone(),
             });
