Tell a successor which workers are silent; give up runs of replaced workers

A worker crashed behind a cut and came back under another identifier at its address. Polls to the former one were answered with "other incarnation", which counted as silence, and the successor of a coordinator that lost the store waited 3 s of authority and 8 s of lease from its own beginning: lasting tasks were down for 15 s, 14 s of them known to be over.

Ruled out: late orders (orders name their worker, so none has an effect on another one); a missing list (the former identifier was listed until 22.4 s).

Change: an address that another worker answers for 1.5 s ends what ran there. Batches name the workers that get no leases and what is left of them; a worker that is named gets neither leases nor starts until a batch without it is committed, so a successor waits for the recorded end, not 11 s. A worker that has begun another incarnation counts the deadlines of starts that may reach it as leases (found by the model: a task ran twice with the first change alone). Silent workers get no new starts any more after the first miss.

--- a/sapphirewalk/src/entry/records.rs
+++ b/sapphirewalk/src/entry/records.rs
@@ -31,6 +31,8 @@
 const LEADER_KEY: &str = "coordinator";
 /// The row that hands on what has been learned of images.
 const LEARNED_KEY: &str = "learned";
+/// The row that names the workers that get no leases.
+const SILENT_KEY: &str = "silent";
 /// Parts over which accepted jobs are spread: one takes 200 transactions a second, and the larger
 /// sites accept up to about 100 jobs a second in bursts.
 const JOB_PARTS: u64 = 4;
@@ -104,6 +106,13 @@
     }
 }
 
+fn silent_place() -> RowPlace {
+    RowPlace {
+        key: SILENT_KEY.to_owned(),
+        ..leader_place()
+    }
+}
+
 /// Where an accepted job is.
 pub fn job_place(id: JobId) -> RowPlace {
     RowPlace {
@@ -186,6 +195,9 @@
         if let Some(learned) = &batch.learned {
             change.written.push((learned_place(), encode(learned)));
         }
+        if let Some(silent) = &batch.silent {
+            change.written.push((silent_place(), encode(silent)));
+        }
         change
             .removed
             .extend(batch.removed.iter().map(|id| progress_place(*id)));
@@ -274,11 +286,17 @@
             None => set.unreadable.push(row.key.clone()),
         }
     }
-    let learned = store.read_row(&learned_place(), READ_TIMEOUT).await?;
-    if let Some(row) = learned {
-        match decode(&row.value) {
-            Some(learned) => set.records.learned = learned,
-            None => set.unreadable.push(row.key),
+    let page = store
+        .read_part(LEADER_TABLE, LEADER_PART, READ_TIMEOUT)
+        .await?;
+    for row in page.rows {
+        let read = match row.key.as_str() {
+            LEARNED_KEY => decode(&row.value).map(|learned| set.records.learned = learned),
+            SILENT_KEY => decode(&row.value).map(|silent| set.records.silent = silent),
+            _ => Some(()),
+        };
+        if read.is_none() {
+            set.unreadable.push(row.key);
         }
     }
     Ok(set)
--- a/sapphirewalk_core/src/coordinator/commit.rs
+++ b/sapphirewalk_core/src/coordinator/commit.rs
@@ -3,6 +3,7 @@
 use crate::coordinator::CommitBatch;
 use crate::coordinator::Effect;
 use crate::coordinator::JobCoordinator;
+use crate::coordinator::SilentWorker;
 use crate::job_book::JobSlot;
 use crate::job_book::JobState;
 use crate::job_book::TaskPhase;
@@ -20,6 +21,9 @@
 const RENEW_INTERVAL: TimeSpan = TimeSpan::from_millis(400);
 /// What has been learned of images is committed this often: it changes within some seconds.
 const LEARNED_INTERVAL: TimeSpan = TimeSpan::from_millis(3_000);
+/// The record of silent workers is written anew this often, with the renewals: what is left of
+/// their leases shrinks, and a successor adds the record's age to it.
+const SILENT_INTERVAL: TimeSpan = RENEW_INTERVAL;
 /// How long after the last committed batch orders are still given: some renewals, and the time-outs
 /// of a batch whose answer is lost. Together with `poll::LEASE_SPAN` it bounds what a successor has
 /// to wait out on workers out of reach, and what outage of the store runs outlive.
@@ -33,6 +37,9 @@
     next_batch: TimePoint,
     next_renewal: TimePoint,
     next_learned: TimePoint,
+    next_silent: TimePoint,
+    /// A worker that the record names as silent is heard again and waits for the next batch.
+    pub(super) hasten: bool,
     /// When the last committed batch was sent.
     committed_at: TimePoint,
 }
@@ -45,6 +52,8 @@
     jobs: Vec<(JobSlot, JobState)>,
     starts: Vec<TaskSlot>,
     ends: Vec<(WorkerSlot, u64, u64)>,
+    /// Workers that are no longer named as silent.
+    heard: Vec<WorkerSlot>,
 }
 
 impl CommitState {
@@ -55,6 +64,8 @@
             next_batch: now,
             next_renewal: now,
             next_learned: now + LEARNED_INTERVAL,
+            next_silent: now,
+            hasten: false,
             committed_at: now,
         }
     }
@@ -75,7 +86,7 @@
     pub(super) fn next_batch_at(&self) -> Option<TimePoint> {
         if self.commit.in_flight.is_some() {
             None
-        } else if self.dirty.is_empty() && self.removed.is_empty() {
+        } else if self.dirty.is_empty() && self.removed.is_empty() && !self.commit.hasten {
             Some(self.commit.next_renewal)
         } else {
             Some(self.commit.next_batch)
@@ -127,6 +138,8 @@
             self.commit.next_learned = now + LEARNED_INTERVAL;
             self.interference.export()
         });
+        let heard = self.heard_again();
+        let silent = self.silent_record(&heard, now);
         self.commit.number += 1;
         let number = self.commit.number;
         self.commit.in_flight = Some(FlightBatch {
@@ -135,6 +148,7 @@
             jobs,
             starts,
             ends,
+            heard,
         });
         self.commit.next_batch = now + BATCH_INTERVAL;
         self.commit.next_renewal = now + RENEW_INTERVAL;
@@ -143,9 +157,47 @@
             rows,
             removed,
             learned,
+            silent,
         }));
     }
 
+    /// Workers that the record names as silent and that answer again.
+    fn heard_again(&mut self) -> Vec<WorkerSlot> {
+        self.commit.hasten = false;
+        let entries = self.workers.iter();
+        entries
+            .filter(|(_, entry)| entry.withheld && !entry.is_silent())
+            .map(|(slot, _)| slot)
+            .collect()
+    }
+
+    /// Workers that get no leases for now, and when those that they have are surely over; nothing
+    /// where the record stands as it is.
+    fn silent_record(&mut self, heard: &[WorkerSlot], now: TimePoint) -> Option<Vec<SilentWorker>> {
+        let slots: Vec<WorkerSlot> = self
+            .workers
+            .iter()
+            .filter(|(_, entry)| entry.is_silent() && entry.leases_over_at() > now)
+            .map(|(slot, _)| slot)
+            .collect();
+        let unknown = |slot: &WorkerSlot| !self.workers.get(*slot).withheld;
+        let changed = !heard.is_empty() || slots.iter().any(unknown);
+        if !changed && (slots.is_empty() || now < self.commit.next_silent) {
+            return None;
+        }
+        self.commit.next_silent = now + SILENT_INTERVAL;
+        let mut silent = Vec::with_capacity(slots.len());
+        for slot in slots {
+            let entry = self.workers.get_mut(slot);
+            entry.withheld = true;
+            silent.push(SilentWorker {
+                id: entry.report.id.clone(),
+                lease_left: entry.leases_over_at().since(now),
+            });
+        }
+        Some(silent)
+    }
+
     /// A batch is committed: starts in it are sent, ends in it may be forgotten by their workers,
     /// and callers are told of its states.
     pub(super) fn on_committed(&mut self, number: u64, now: TimePoint) {
@@ -157,6 +209,13 @@
             return;
         }
         self.commit.committed_at = batch.sent_at;
+        for worker in batch.heard {
+            let entry = self.workers.get_mut(worker);
+            // It may have gone silent again meanwhile; the next batch then names it again.
+            entry.withheld = false;
+            entry.next_poll = entry.next_poll.min(now);
+            self.place_due = true;
+        }
         for (slot, state) in batch.jobs {
             if let Some(job) = self.jobs.get_mut(slot)
                 && state.is_final()
@@ -187,7 +246,13 @@
             return;
         }
         let over = self.is_over(slot.job);
-        if over {
+        let withheld = self.jobs.task(slot).and_then(|task| task.worker);
+        let withheld = withheld.is_some_and(|worker| self.workers.get(worker).withheld);
+        if withheld {
+            // The worker has gone silent since it was chosen; nothing has been sent.
+            self.release(slot, now, TimeSpan::ZERO);
+            self.mark_dirty(slot.job);
+        } else if over {
             self.release(slot, now, TimeSpan::ZERO);
         } else {
             self.send_start(slot, now);
--- a/sapphirewalk_core/src/coordinator/event.rs
+++ b/sapphirewalk_core/src/coordinator/event.rs
@@ -4,12 +4,16 @@
 use std::net;
 use std::rc;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use crate::image_interference::LearnedImage;
 use crate::job_book::JobProgress;
 use crate::job_spec::JobId;
 use crate::job_spec::JobSpec;
 use crate::job_spec::RunName;
 use crate::time::TimePoint;
+use crate::time::TimeSpan;
 use crate::worker_book::WorkerSlot;
 
 /// A job as it was accepted and stored.
@@ -184,6 +188,19 @@
     pub removed: Vec<JobId>,
     /// What has been learned of images, now and then.
     pub learned: Option<Vec<LearnedImage>>,
+    /// All workers that get no leases until a later batch leaves them out; none where the last
+    /// record of them stands.
+    pub silent: Option<Vec<SilentWorker>>,
+}
+
+/// A worker that doesn't answer, as it is kept for a successor.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct SilentWorker {
+    /// Its identifier.
+    pub id: String,
+    /// Time from the record's writing until every lease given there is surely over.
+    pub lease_left: TimeSpan,
 }
 
 /// The worker that an order goes to.
--- a/sapphirewalk_core/src/coordinator/mod.rs
+++ b/sapphirewalk_core/src/coordinator/mod.rs
@@ -27,6 +27,7 @@
 pub use event::OrderTarget;
 pub use event::PollAnswer;
 pub use event::RunEnd;
+pub use event::SilentWorker;
 pub use recover::JobRecords;
 
 use crate::image_interference::InterferenceModel;
@@ -125,14 +126,10 @@
             self.workers.get_mut(slot).listed = false;
         }
         for report in reports {
-            let slot = self.workers.intern(&report.id);
+            let slot = self.intern_worker(&report.id);
             let fence = self.fence;
-            let inherited_until = self.inherited_until;
             let entry = self.workers.get_mut(slot);
             entry.listed = true;
-            if !entry.adopted {
-                entry.inherited_until = inherited_until;
-            }
             if entry.report == report {
                 continue;
             }
--- a/sapphirewalk_core/src/coordinator/poll.rs
+++ b/sapphirewalk_core/src/coordinator/poll.rs
@@ -26,6 +26,9 @@
 const POLL_RETRY: TimeSpan = TimeSpan::from_millis(300);
 /// A worker that has not answered for this long gets nothing new: a poll's wait and as much again.
 pub const SILENCE_LIMIT: TimeSpan = TimeSpan::from_millis(2_200);
+/// How long an address must be answered by another worker before the one that was there counts as
+/// gone: the list of workers, read each 0.7 s, would tell by then if it had only moved.
+const REPLACED_SPAN: TimeSpan = TimeSpan::from_millis(1_500);
 /// Runs that fail in a row on one worker before it is quarantined.
 const FAILURE_LIMIT: u32 = 2;
 /// A worker on which runs fail gets nothing new for this long at first.
@@ -69,7 +72,7 @@
     /// that its leases end.
     fn lease_deadline(&self, slot: WorkerSlot, now: TimePoint) -> u64 {
         let entry = self.workers.get(slot);
-        if entry.misses > 0 {
+        if entry.misses > 0 || entry.withheld {
             return 0;
         }
         let span = LEASE_SPAN.min(self.limits.longest_lease);
@@ -98,6 +101,10 @@
             } => self.on_lists(worker, clock_ms, born_ms, &running, ended, now),
             PollAnswer::Missing | PollAnswer::Refused(_) | PollAnswer::OtherIncarnation => {
                 entry.misses += 1;
+                if answer == PollAnswer::OtherIncarnation {
+                    self.on_replaced(worker, now);
+                }
+                let entry = self.workers.get_mut(worker);
                 entry.next_poll = now + POLL_RETRY;
                 if entry.misses == 1 {
                     let id = entry.report.id.clone();
@@ -123,6 +130,7 @@
         let entry = self.workers.get_mut(worker);
         let was_lost = entry.misses > 0;
         entry.misses = 0;
+        entry.replaced_since = None;
         entry.answered_at = now;
         entry.next_poll = now;
         let other_incarnation = entry.born_ms != born_ms;
@@ -136,8 +144,10 @@
             entry.born_ms = born_ms;
             entry.seen = 0;
             entry.acked = 0;
-            entry.granted_ms = 0;
             entry.clock = None;
+            // Starts that may reach this incarnation are leases on its clock.
+            let starts = entry.tasks.iter().filter_map(|slot| self.jobs.task(*slot));
+            entry.granted_ms = starts.map(|task| task.deadline_ms).max().unwrap_or(0);
         }
         let reading = ClockReading {
             worker_ms: clock_ms,
@@ -150,6 +160,7 @@
         entry.adopted = true;
         if newly_adopted || was_lost {
             self.place_due = true;
+            self.commit.hasten |= self.workers.get(worker).withheld;
             let detail = format!(
                 "worker={} runs={} ends={} clock_ms={clock_ms} born_ms={born_ms}",
                 self.workers.get(worker).report.id,
@@ -207,6 +218,19 @@
         entry.ended_incarnations += 1;
     }
 
+    /// Another worker answers at the address: the one that was there has ended, and what ran there
+    /// with it. Orders name their worker, so none that is still on its way has an effect.
+    fn on_replaced(&mut self, worker: WorkerSlot, now: TimePoint) {
+        let entry = self.workers.get_mut(worker);
+        let since = *entry.replaced_since.get_or_insert(now);
+        if now.since(since) < REPLACED_SPAN || entry.tasks.is_empty() {
+            return;
+        }
+        entry.inherited_until = TimePoint::EPOCH;
+        entry.granted_ms = 0;
+        self.lose_tasks(worker, "replaced", now);
+    }
+
     /// Lets every task of a worker wait for another run.
     fn lose_tasks(&mut self, worker: WorkerSlot, cause: &'static str, now: TimePoint) {
         for slot in self.workers.get(worker).tasks.clone() {
--- a/sapphirewalk_core/src/coordinator/recover.rs
+++ b/sapphirewalk_core/src/coordinator/recover.rs
@@ -2,6 +2,7 @@
 
 use crate::coordinator::JobCoordinator;
 use crate::coordinator::JobRecord;
+use crate::coordinator::SilentWorker;
 use crate::coordinator::commit;
 use crate::coordinator::poll;
 use crate::image_interference::LearnedImage;
@@ -12,6 +13,7 @@
 use crate::job_spec::JobId;
 use crate::time::TimePoint;
 use crate::worker_book;
+use crate::worker_book::WorkerSlot;
 
 /// The fencing token of the first coordinator.
 const FIRST_FENCE: u64 = 1;
@@ -27,6 +29,8 @@
     pub cancelled: Vec<JobId>,
     /// What a predecessor has learned of images.
     pub learned: Vec<LearnedImage>,
+    /// Workers that a predecessor gave no leases any more.
+    pub silent: Vec<SilentWorker>,
 }
 
 impl JobCoordinator {
@@ -38,6 +42,7 @@
             mut progress,
             cancelled,
             learned,
+            silent,
         } = records;
         let images = learned.len();
         self.interference.import(learned, now);
@@ -48,6 +53,15 @@
         } else {
             self.last_lease_after(now + commit::AUTHORITY_SPAN)
         };
+        self.inherited_until = inherited_until;
+        let silences = silent.len();
+        for worker in silent {
+            let slot = self.intern_worker(&worker.id);
+            let entry = self.workers.get_mut(slot);
+            // The record may be older than this; its leases end the sooner.
+            entry.inherited_until = inherited_until.min(now + worker.lease_left);
+            entry.withheld = true;
+        }
         let total = jobs.len();
         let mut unfinished = 0usize;
         let mut unverified = 0usize;
@@ -58,8 +72,7 @@
             let found = progress.binary_search_by_key(&id, |row| row.id);
             let row = found.ok().map(|index| progress[index].clone());
             let placed = row.map_or_else(Vec::new, |row| {
-                let workers = &mut self.workers;
-                job.restore(&row, |name| workers.intern(name))
+                job.restore(&row, |name| self.intern_worker(name))
             });
             if job.state.is_final() {
                 job.ended_at = now;
@@ -96,13 +109,13 @@
                 self.drop_if_over(slot);
             }
         }
-        self.inherit_leases(inherited_until);
         self.place_due = true;
         self.log(
             "leadership_started",
             None,
             format!(
-                "fence={} jobs={total} unfinished={unfinished} runs={unverified} images={images}",
+                "fence={} jobs={total} unfinished={unfinished} runs={unverified} images={images} \
+                 silent={silences}",
                 self.fence
             ),
         );
@@ -115,7 +128,11 @@
         if until >= self.inherited_until {
             return;
         }
-        self.inherit_leases(until);
+        self.inherited_until = until;
+        for slot in self.workers.slots() {
+            let entry = self.workers.get_mut(slot);
+            entry.inherited_until = entry.inherited_until.min(until);
+        }
         let fence = self.fence;
         self.log("predecessor_ended", None, format!("fence={fence}"));
     }
@@ -126,13 +143,13 @@
         given_at + span.scale(worker_book::SLOW_CLOCK_FACTOR)
     }
 
-    fn inherit_leases(&mut self, until: TimePoint) {
-        self.inherited_until = until;
-        for slot in self.workers.slots() {
-            let entry = self.workers.get_mut(slot);
-            if !entry.adopted || entry.inherited_until > until {
-                entry.inherited_until = until;
-            }
+    /// The slot of a worker; one that is new here may have leases from a predecessor.
+    pub(super) fn intern_worker(&mut self, id: &str) -> WorkerSlot {
+        let known = self.workers.len();
+        let slot = self.workers.intern(id);
+        if self.workers.len() > known {
+            self.workers.get_mut(slot).inherited_until = self.inherited_until;
         }
+        slot
     }
 }
--- a/sapphirewalk_core/src/worker_book.rs
+++ b/sapphirewalk_core/src/worker_book.rs
@@ -98,6 +98,11 @@
     pub answered_at: TimePoint,
     /// Answers missing in a row.
     pub misses: u32,
+    /// Since when its address is answered by another worker.
+    pub replaced_since: Option<TimePoint>,
+    /// The record names it as silent, or is about to: a successor counts on it that no lease is
+    /// given before the record says otherwise.
+    pub withheld: bool,
     /// Gets no new tasks until then.
     pub quarantined_until: TimePoint,
     /// Runs that failed in a row, with none done between.
@@ -138,6 +143,8 @@
             next_poll: TimePoint::EPOCH,
             answered_at: TimePoint::EPOCH,
             misses: 0,
+            replaced_since: None,
+            withheld: false,
             quarantined_until: TimePoint::EPOCH,
             failures: 0,
             gauges: Vec::new(),
@@ -172,11 +179,19 @@
     pub fn is_usable(&self, now: TimePoint, silence: TimeSpan) -> bool {
         self.listed
             && self.adopted
+            && self.misses == 0
+            && !self.withheld
             && !self.report.draining
             && now >= self.quarantined_until
             && now.since(self.answered_at) <= silence
     }
 
+    /// Whether it gets no leases: it doesn't answer, or a predecessor has named it as silent and it
+    /// has not been heard since.
+    pub const fn is_silent(&self) -> bool {
+        self.misses > 0 || (self.withheld && !self.adopted)
+    }
+
     /// Whether it is polled: it stands in the list, or may still run something.
     pub const fn is_polled(&self) -> bool {
         (self.listed || !self.tasks.is_empty()) && self.report.address.port() != 0
@@ -242,6 +257,16 @@
         }
     }
 
+    /// How many workers are known.
+    pub const fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether no worker is known.
+    pub const fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
     /// A worker.
     pub fn get(&self, slot: WorkerSlot) -> &WorkerEntry {
         &self.entries[slot.0 as usize]
--- a/sapphirewalk_core/tests/coordinator/faults.rs
+++ b/sapphirewalk_core/tests/coordinator/faults.rs
@@ -108,6 +108,7 @@
             outages: vec![(7_000, 11_500)],
             slow: vec![(6, 5_000, 12_000, 0.0), (7, 8_000, 14_000, 0.2)],
             failing_runs: 0.02,
+            renamed: seed % 2 == 0,
         };
         assert_kept(seed, &play(seed, plan));
     }
@@ -153,3 +154,56 @@
     assert_eq!(world.running(1), 20);
     assert_eq!(world.breaches, Vec::<String>::new());
 }
+
+/// A job of 20 service tasks on workers of which one goes.
+fn service_world(plan: FaultPlan) -> World {
+    let mut world = World::new(1, WORKERS, plan);
+    let mut service = world::step(20, 1_000, 1_000, &[]);
+    service.service = true;
+    world.submit(1_000, 1, "service", vec![service]);
+    world
+}
+
+#[test]
+fn runs_end_with_a_worker_whose_address_another_one_has_taken() {
+    // It crashes while it is cut off, and is back under another name when a successor leads.
+    let plan = FaultPlan {
+        crashes: vec![(1, 4_000, 6_000)],
+        takeovers: vec![7_000],
+        renamed: true,
+        ..FaultPlan::default()
+    };
+    let mut world = service_world(plan);
+    world.run_until(10_000);
+    assert_eq!(world.running(1), 20);
+    assert_eq!(world.breaches, Vec::<String>::new());
+}
+
+#[test]
+fn takeovers_in_a_row_wait_for_a_silent_workers_leases_once() {
+    let plan = FaultPlan {
+        crashes: vec![(1, 4_000, 600_000), (2, 4_100, 600_000)],
+        takeovers: vec![7_000, 9_000, 9_200, 11_000],
+        ..FaultPlan::default()
+    };
+    let mut world = service_world(plan);
+    // The last lease of 8 s, 2% for slow clocks, and at each takeover the age of the record.
+    world.run_until(4_100 + 8_160 + 4 * 400 + 300);
+    assert_eq!(world.running(1), 20);
+    assert_eq!(world.breaches, Vec::<String>::new());
+}
+
+#[test]
+fn a_silent_worker_that_is_heard_again_gets_leases_and_work() {
+    for seed in 600..620 {
+        let plan = FaultPlan {
+            cuts: vec![(1, 3_000, 5_500), (2, 3_100, 6_200), (3, 7_000, 9_900)],
+            takeovers: vec![5_000, 8_000, 9_000],
+            late_orders: 0.03,
+            lost_answers: 0.03,
+            lost_records: 0.1,
+            ..FaultPlan::default()
+        };
+        assert_kept(seed, &play(seed, plan));
+    }
+}
--- a/sapphirewalk_core/tests/coordinator/world.rs
+++ b/sapphirewalk_core/tests/coordinator/world.rs
@@ -19,6 +19,7 @@
 use sapphirewalk_core::coordinator::OrderTarget;
 use sapphirewalk_core::coordinator::PollAnswer;
 use sapphirewalk_core::coordinator::RunEnd;
+use sapphirewalk_core::coordinator::SilentWorker;
 use sapphirewalk_core::image_interference::LearnedImage;
 use sapphirewalk_core::job_book::JobProgress;
 use sapphirewalk_core::job_book::JobState;
@@ -37,10 +38,14 @@
 
 /// The modelled clock starts here, so that no point lies before the epoch.
 const START_MS: u64 = 1_000_000;
+/// Port of the first worker.
+const FIRST_PORT: u16 = 1_000;
 /// Longest lease that the modelled workers grant.
 const LONGEST_LEASE_MS: u64 = 10_000;
 /// Time that a leaving worker says it has left.
 const LEAVE_MS: u64 = 2_000;
+/// Time after which an entry of the list lapses.
+const LAPSE_MS: u64 = 4_500;
 /// Time that a stop takes.
 const STOP_MS: u64 = 300;
 
@@ -59,6 +64,8 @@
     pub cuts: Vec<(usize, u64, u64)>,
     /// Workers that crash and come back with nothing: which, when, back when.
     pub crashes: Vec<(usize, u64, u64)>,
+    /// Workers come back from a crash under another identifier at the same address.
+    pub renamed: bool,
     /// Times in which the store refuses.
     pub outages: Vec<(u64, u64)>,
     /// Workers whose tasks go at a share of their rate: which, from, to, share.
@@ -181,6 +188,9 @@
     progress: collections::BTreeMap<JobId, JobProgress>,
     store_fence: u64,
     learned: Vec<LearnedImage>,
+    silent: Vec<SilentWorker>,
+    /// Entries of the list that have not lapsed yet: identifier, worker, until when.
+    lapsing: Vec<(String, usize, u64)>,
     done: collections::BTreeMap<TaskName, RunName>,
     failures: collections::BTreeMap<TaskName, u32>,
     /// Runs whose end `done` was acknowledged.
@@ -252,6 +262,8 @@
             progress: collections::BTreeMap::new(),
             store_fence: 0,
             learned: Vec::new(),
+            silent: Vec::new(),
+            lapsing: Vec::new(),
             done: collections::BTreeMap::new(),
             failures: collections::BTreeMap::new(),
             acked: collections::BTreeSet::new(),
@@ -403,11 +415,16 @@
                 }
             }
             Action::Crash(worker) => self.crash(worker),
-            Action::Return(worker) => {
+            Action::Return(number) => {
                 let born = self.now_ms;
-                let worker = &mut self.workers[worker];
+                let worker = &mut self.workers[number];
                 worker.up = true;
                 worker.born_ms = born;
+                if self.plan.renamed {
+                    let id = format!("{}-{born}", worker.id);
+                    let former = std::mem::replace(&mut worker.id, id);
+                    self.lapsing.push((former, number, born + LAPSE_MS));
+                }
             }
             Action::List => {
                 self.list();
@@ -439,6 +456,7 @@
                 progress: self.progress.values().cloned().collect(),
                 cancelled: self.cancelled.clone(),
                 learned: self.learned.clone(),
+                silent: self.silent.clone(),
             };
             coordinator.restore(records, now);
         }
@@ -462,15 +480,21 @@
     }
 
     fn list(&mut self) {
-        let reports: Vec<WorkerReport> = self
-            .workers
-            .iter()
-            .enumerate()
+        let now_ms = self.now_ms;
+        self.lapsing.retain(|(_, _, until)| *until > now_ms);
+        let up = self.workers.iter().enumerate();
+        let up = up
             .filter(|(_, worker)| worker.up)
-            .map(|(number, worker)| WorkerReport {
-                id: worker.id.clone(),
+            .map(|(number, worker)| (worker.id.clone(), number));
+        let lapsing = self.lapsing.iter();
+        let lapsing = lapsing.map(|(id, number, _)| (id.clone(), *number));
+        let reports: Vec<WorkerReport> = up
+            .chain(lapsing)
+            .map(|(id, number)| (id, number, &self.workers[number]))
+            .map(|(id, number, worker)| WorkerReport {
+                id,
                 pool: "pool".to_owned(),
-                address: ([127, 0, 0, 1], 1_000 + u16::try_from(number).unwrap()).into(),
+                address: ([127, 0, 0, 1], FIRST_PORT + u16::try_from(number).unwrap()).into(),
                 domain: "domain".to_owned(),
                 rack: format!("r{}", number / 4),
                 labels: vec!["a".to_owned(), format!("r{}", number / 4)],
@@ -563,9 +587,8 @@
                 until_ms: self.now_ms + wait_ms,
             },
         };
-        let id = order.target().id.clone();
-        let worker = self.workers.iter().position(|worker| worker.id == id);
-        let worker = worker.expect("orders go to workers that were listed");
+        let port = order.target().address.port();
+        let worker = usize::from(port - FIRST_PORT);
         let born_ms = self.workers[worker].born_ms;
         let late = !matches!(order, Order::Poll { .. }) && self.chance(self.plan.late_orders);
         if late {
@@ -636,6 +659,9 @@
         if let Some(learned) = batch.learned.filter(|_| !self.forgets_learned) {
             self.learned = learned;
         }
+        if let Some(silent) = batch.silent {
+            self.silent = silent;
+        }
         for row in batch.rows {
             if row.state == JobState::Completed && !self.completed.contains_key(&row.id) {
                 let job = self.jobs.iter().find(|job| job.id == row.id);
@@ -721,6 +747,10 @@
 
     fn carry_out(&mut self, number: usize, order: &Order) -> Event {
         self.lapse(number);
+        if order.target().id != self.workers[number].id {
+            let other = OrderAnswer::OtherIncarnation;
+            return answer(order, other, PollAnswer::OtherIncarnation);
+        }
         let now_ms = self.now_ms;
         let fence = order.target().fence;
         let clock_ms = self.workers[number].clock(now_ms);
