Score workers once a step, from sums kept on each worker

Cause: on the grown sites (350 and 490 workers) the coordinator's loop stalled for 1 to 7 s at a time once tasks waited for room: for each task it scored each worker by walking the tasks there and comparing names of images, and began again every 4 ms. Polls came late, leases lapsed, urgent jobs waited.

Change: claims by kind and image are kept as tasks come and go (`claim_summary`); a step scores each worker once and then only the one it has taken; jobs keep keys of images; a queue's rule is borrowed; where a round finds no room, the next one comes with the next batch.

--- /dev/null
+++ b/sapphirewalk_core/src/claim_summary.rs
@@ -0,0 +1,65 @@
+//! What the tasks on a worker claim of it, by kind and image, kept as tasks come and go.
+//!
+//! Placing looks at every worker for every step that waits, so nothing is added up there.
+
+use crate::image_interference::ImageKey;
+use crate::job_spec::StepSpec;
+
+/// Sums over the tasks on one worker.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct ClaimSummary {
+    /// How many service tasks of each image there are; sorted.
+    pub service_images: Vec<(ImageKey, u64)>,
+    /// Processor claims of service tasks in thousandths of a core.
+    pub service_cpu_millis: u64,
+    /// Processor claims of best-effort tasks of each image in thousandths of a core; sorted.
+    pub best_effort_images: Vec<(ImageKey, u64)>,
+    /// Processor claims of all tasks but service tasks in thousandths of a core.
+    pub other_cpu_millis: u64,
+}
+
+impl ClaimSummary {
+    /// Counts a task.
+    pub fn add(&mut self, step: &StepSpec, image: ImageKey) {
+        let cpu_millis = step.demand.cpu_millis;
+        if step.service {
+            self.service_cpu_millis += cpu_millis;
+            increase(&mut self.service_images, image, 1);
+        } else {
+            self.other_cpu_millis += cpu_millis;
+        }
+        if step.best_effort {
+            increase(&mut self.best_effort_images, image, cpu_millis);
+        }
+    }
+
+    /// Takes back what `add` has counted for the same task.
+    pub fn remove(&mut self, step: &StepSpec, image: ImageKey) {
+        let cpu_millis = step.demand.cpu_millis;
+        if step.service {
+            self.service_cpu_millis = self.service_cpu_millis.saturating_sub(cpu_millis);
+            decrease(&mut self.service_images, image, 1);
+        } else {
+            self.other_cpu_millis = self.other_cpu_millis.saturating_sub(cpu_millis);
+        }
+        if step.best_effort {
+            decrease(&mut self.best_effort_images, image, cpu_millis);
+        }
+    }
+}
+
+fn increase(sums: &mut Vec<(ImageKey, u64)>, image: ImageKey, amount: u64) {
+    match sums.binary_search_by_key(&image, |(known, _)| *known) {
+        Ok(found) => sums[found].1 += amount,
+        Err(place) => sums.insert(place, (image, amount)),
+    }
+}
+
+fn decrease(sums: &mut Vec<(ImageKey, u64)>, image: ImageKey, amount: u64) {
+    if let Ok(found) = sums.binary_search_by_key(&image, |(known, _)| *known) {
+        sums[found].1 = sums[found].1.saturating_sub(amount);
+        if sums[found].1 == 0 {
+            sums.remove(found);
+        }
+    }
+}
--- a/sapphirewalk_core/src/coordinator/commit.rs
+++ b/sapphirewalk_core/src/coordinator/commit.rs
@@ -16,7 +16,7 @@
 const BATCH_ROWS: usize = 90;
 /// Least time between batches: saves calls where ends come closely one after another, and is
 /// short against the objectives, which start at 250 ms.
-const BATCH_INTERVAL: TimeSpan = TimeSpan::from_millis(12);
+pub(super) const BATCH_INTERVAL: TimeSpan = TimeSpan::from_millis(12);
 /// A batch without rows renews the lease this often.
 const RENEW_INTERVAL: TimeSpan = TimeSpan::from_millis(400);
 /// What has been learned of images is committed this often: it changes within some seconds.
--- a/sapphirewalk_core/src/coordinator/event.rs
+++ b/sapphirewalk_core/src/coordinator/event.rs
@@ -9,28 +9,13 @@
 
 use crate::image_interference::LearnedImage;
 use crate::job_book::JobProgress;
+use crate::job_book::JobRecord;
 use crate::job_spec::JobId;
 use crate::job_spec::JobSpec;
 use crate::job_spec::RunName;
-use crate::time::TimePoint;
 use crate::time::TimeSpan;
 use crate::worker_book::WorkerSlot;
 
-/// A job as it was accepted and stored.
-#[derive(Clone, Debug, PartialEq)]
-pub struct JobRecord {
-    /// The caller's identifier.
-    pub id: JobId,
-    /// The queue.
-    pub queue: String,
-    /// The pool that the queue had then.
-    pub pool: String,
-    /// What is to be run.
-    pub spec: JobSpec,
-    /// When it was accepted.
-    pub accepted_at: TimePoint,
-}
-
 /// How a run ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RunEnd {
--- a/sapphirewalk_core/src/coordinator/mod.rs
+++ b/sapphirewalk_core/src/coordinator/mod.rs
@@ -20,7 +20,6 @@
 pub use event::Decision;
 pub use event::Effect;
 pub use event::Event;
-pub use event::JobRecord;
 pub use event::ListedEnd;
 pub use event::ListedRun;
 pub use event::OrderAnswer;
@@ -30,6 +29,10 @@
 pub use event::SilentWorker;
 pub use recover::JobRecords;
 
+pub use crate::job_book::JobRecord;
+
+use std::borrow::Cow;
+
 use crate::image_interference::InterferenceModel;
 use crate::job_book::JobBook;
 use crate::job_book::JobEntry;
@@ -235,8 +238,11 @@
     }
 
     /// The rule of a job's queue; where the queue was dropped, one with what the job kept.
-    fn queue_rule(&self, job: &JobEntry) -> QueueRule {
-        self.rules.queue(&job.queue).cloned().unwrap_or(QueueRule {
+    fn queue_rule(&self, job: &JobEntry) -> Cow<'_, QueueRule> {
+        if let Some(rule) = self.rules.queue(&job.queue) {
+            return Cow::Borrowed(rule);
+        }
+        Cow::Owned(QueueRule {
             name: job.queue.clone(),
             pool: job.pool.clone(),
             max_attempts: FALLBACK_ATTEMPTS,
@@ -265,9 +271,9 @@
     }
 
     fn on_stored(&mut self, record: JobRecord, now: TimePoint) {
-        let accepted_at = record.accepted_at.min(now);
         let id = record.id;
-        let mut job = JobEntry::new(id, record.queue, record.pool, record.spec, accepted_at);
+        let mut job = self.new_job(record, now);
+        let accepted_at = job.accepted_at;
         job.begin_due(now);
         let steps = job.spec.steps.len();
         let tasks = job.spec.task_count();
@@ -283,6 +289,11 @@
         }
     }
 
+    /// A job of which nothing has run.
+    fn new_job(&mut self, record: JobRecord, now: TimePoint) -> JobEntry {
+        JobEntry::new(record, now, |name| self.interference.intern(name))
+    }
+
     fn on_cancelled(&mut self, id: JobId, now: TimePoint) {
         let Some(slot) = self.jobs.find(id) else {
             return;
@@ -378,14 +389,15 @@
 
     /// Takes a task off its worker.
     fn unplace(&mut self, slot: TaskSlot) {
-        let Some(step) = self.jobs.step(slot).cloned() else {
+        let Some(task) = self.jobs.task_mut(slot) else {
             return;
         };
-        let Some(task) = self.jobs.task_mut(slot) else {
+        let worker = task.worker.take();
+        let (Some(step), Some(image)) = (self.jobs.step(slot), self.jobs.image(slot)) else {
             return;
         };
-        if let Some(worker) = task.worker.take() {
-            self.workers.get_mut(worker).remove_task(slot, &step);
+        if let Some(worker) = worker {
+            self.workers.get_mut(worker).remove_task(slot, step, image);
         }
     }
 
--- a/sapphirewalk_core/src/coordinator/pace.rs
+++ b/sapphirewalk_core/src/coordinator/pace.rs
@@ -17,6 +17,7 @@
 use crate::time::TimeSpan;
 use crate::worker_book;
 use crate::worker_book::TaskGauge;
+use crate::worker_book::WorkerEntry;
 use crate::worker_book::WorkerSlot;
 
 /// Share of its processor claim that a service task uses.
@@ -153,7 +154,9 @@
             if !step.service || target <= 0.0 || !self.is_at_work(gauge.slot) {
                 continue;
             }
-            let image = self.interference.intern(&step.image);
+            let Some(image) = self.jobs.image(gauge.slot) else {
+                continue;
+            };
             let ratio = gauge.value.max(MIN_TAIL_MS) / target;
             self.interference.observe(image, loads, ratio, now);
             tails.push(MeasuredTail {
@@ -180,8 +183,9 @@
             if !step.best_effort {
                 continue;
             }
-            let image = self.interference.intern(&step.image);
-            let Some(task) = self.jobs.task(gauge.slot) else {
+            let (Some(task), Some(image)) =
+                (self.jobs.task(gauge.slot), self.jobs.image(gauge.slot))
+            else {
                 continue;
             };
             if task.stopping || task.phase != TaskPhase::Running {
@@ -301,11 +305,12 @@
     fn best_effort_loads(&mut self, gauges: &[TaskGauge], capacity: f64) -> Vec<ImageLoad> {
         let mut loads: Vec<ImageLoad> = Vec::new();
         for gauge in gauges {
-            let Some(step) = self.jobs.step(gauge.slot) else {
+            let (Some(step), Some(image)) =
+                (self.jobs.step(gauge.slot), self.jobs.image(gauge.slot))
+            else {
                 continue;
             };
             if step.best_effort {
-                let image = self.interference.intern(&step.image);
                 add_load(&mut loads, image, gauge.value.max(0.0) / capacity);
             }
         }
@@ -334,48 +339,34 @@
     }
 
     /// How well a worker suits a best-effort task.
-    pub(super) fn best_effort_score(&self, worker: WorkerSlot, step: &StepSpec) -> BestEffortScore {
-        let entry = self.workers.get(worker);
-        let mean = entry.mean_tail;
+    pub(super) fn best_effort_score(
+        &self,
+        entry: &WorkerEntry,
+        step: &StepSpec,
+        image: ImageKey,
+    ) -> BestEffortScore {
         let capacity = entry.report.capacity.cpu_millis.max(1) as f64;
-        let mut left = 1.0;
-        let mut loads: Vec<ImageLoad> = Vec::new();
-        let mut service = Vec::new();
-        for slot in &entry.tasks {
-            let Some(other) = self.jobs.step(*slot) else {
-                continue;
-            };
-            let claim = other.demand.cpu_millis as f64 / capacity;
-            if other.service {
-                left -= claim * SERVICE_LOAD;
-                service.extend(self.interference.find(&other.image));
-            } else {
-                left -= claim;
-            }
-            if other.best_effort
-                && let Some(image) = self.interference.find(&other.image)
-            {
-                add_load(&mut loads, image, claim);
-            }
-        }
+        let claims = &entry.claims;
         let share = step.demand.cpu_millis as f64 / capacity;
-        let mut interferes = left - share < -OVERBOOKING;
+        let service = claims.service_cpu_millis as f64 * SERVICE_LOAD;
+        let left = 1.0 - (service + claims.other_cpu_millis as f64) / capacity - share;
+        let mut interferes = left < -OVERBOOKING;
         let mut total = 0.0;
-        if let Some(image) = self.interference.find(&step.image) {
-            service.sort_unstable();
-            service.dedup();
-            add_load(&mut loads, image, share);
-            for kind in service {
-                let weight = self.interference.weight(kind, image);
-                let added = weight * share;
-                let expected = self.interference.expect(kind, &loads).max(mean + added);
-                if added > HARMLESS_INTERFERENCE && expected > PLACE_CEILING {
-                    interferes = true;
-                }
-                total += added;
+        for (kind, _) in &claims.service_images {
+            let added = self.interference.weight(*kind, image) * share;
+            total += added;
+            if added <= HARMLESS_INTERFERENCE || interferes {
+                continue;
             }
+            let loads = claims.best_effort_images.iter();
+            let loads = loads.map(|(image, cpu_millis)| ImageLoad {
+                image: *image,
+                share: *cpu_millis as f64 / capacity,
+            });
+            let expected = self.interference.expect(*kind, loads) + added;
+            interferes = expected.max(entry.mean_tail + added) > PLACE_CEILING;
         }
-        let score = left - share - total;
+        let score = left - total;
         if interferes {
             BestEffortScore::Interferes(score)
         } else {
@@ -383,31 +374,6 @@
         }
     }
 
-    /// How well a worker suits a service task: beside tasks of its own image, so that best-effort
-    /// tasks find workers where nothing that they interfere with runs.
-    pub(super) fn service_score(&self, worker: WorkerSlot, step: &StepSpec) -> f64 {
-        let entry = self.workers.get(worker);
-        let mut same = 0.0;
-        let mut total = 0.0;
-        for slot in &entry.tasks {
-            let service = self.jobs.step(*slot).filter(|other| other.service);
-            let Some(other) = service else {
-                continue;
-            };
-            total += 1.0;
-            if other.image == step.image {
-                same += 1.0;
-            }
-        }
-        let alike = if total > 0.0 {
-            same / total
-        } else {
-            EMPTY_ALIKE
-        };
-        let free = entry.free().cpu_millis as f64;
-        alike * SAME_IMAGE_WEIGHT + free / entry.report.capacity.cpu_millis.max(1) as f64
-    }
-
     /// Whether a service task is at work.
     fn is_at_work(&self, slot: TaskSlot) -> bool {
         self.jobs
@@ -416,6 +382,26 @@
     }
 }
 
+/// How well a worker suits a service task: beside tasks of its own image, so that best-effort tasks
+/// find workers where nothing that they interfere with runs.
+pub(super) fn service_score(entry: &WorkerEntry, image: ImageKey) -> f64 {
+    let mut same = 0;
+    let mut total = 0;
+    for (kind, count) in &entry.claims.service_images {
+        total += count;
+        if *kind == image {
+            same = *count;
+        }
+    }
+    let alike = if total > 0 {
+        same as f64 / total as f64
+    } else {
+        EMPTY_ALIKE
+    };
+    let free = entry.free().cpu_millis as f64;
+    alike * SAME_IMAGE_WEIGHT + free / entry.report.capacity.cpu_millis.max(1) as f64
+}
+
 /// How alike an empty worker counts: better than a mix, worse than its own image.
 const EMPTY_ALIKE: f64 = 0.6;
 
--- a/sapphirewalk_core/src/coordinator/place.rs
+++ b/sapphirewalk_core/src/coordinator/place.rs
@@ -1,10 +1,15 @@
 //! Which step gets room next, and on which worker.
 
 use crate::coordinator::JobCoordinator;
+use crate::coordinator::commit;
+use crate::coordinator::pace;
 use crate::coordinator::pace::BestEffortScore;
 use crate::coordinator::poll;
+use crate::image_interference::ImageKey;
 use crate::job_book::JobEntry;
 use crate::job_book::JobSlot;
+use crate::job_book::OccurrenceEntry;
+use crate::job_book::TaskEntry;
 use crate::job_book::TaskPhase;
 use crate::job_book::TaskSlot;
 use crate::job_order;
@@ -18,6 +23,9 @@
 
 /// Least time between two rounds, so that events that come together are answered together.
 const PLACE_INTERVAL: TimeSpan = TimeSpan::from_millis(4);
+/// Least time between two rounds where not everything finds room: the time between two batches,
+/// since runs are only started once they are committed.
+const CROWDED_INTERVAL: TimeSpan = commit::BATCH_INTERVAL;
 
 /// A step of an occurrence with tasks that wait for room.
 #[derive(Clone, Debug)]
@@ -29,10 +37,31 @@
     pool: String,
 }
 
-/// Demands that found no room in this round.
+/// What a step asks of a worker.
+#[derive(Clone, Copy, Debug)]
+struct PlaceAsk<'a> {
+    step: &'a StepSpec,
+    image: ImageKey,
+    /// The step's first task in its occurrence.
+    first: TaskSlot,
+    pool: &'a str,
+}
+
+/// A worker that can take a task.
+#[derive(Clone, Copy, Debug)]
+struct PlaceCandidate {
+    worker: WorkerSlot,
+    /// How well it suits; more is better.
+    score: f64,
+}
+
+/// What has been found out in a round.
 #[derive(Debug, Default)]
-struct FullMarks {
+struct PlaceRound {
+    /// Demands that found no room.
     marks: Vec<FullMark>,
+    /// The share of each pool that was unclaimed when it was asked for.
+    free_shares: Vec<(String, f64)>,
 }
 
 /// A demand that found no room. Best-effort tasks of other images may still find some, since it is
@@ -40,33 +69,32 @@
 #[derive(Debug)]
 struct FullMark {
     pool: String,
-    best_effort: Option<String>,
+    best_effort: Option<ImageKey>,
     least: ResourceVector,
 }
 
-impl FullMarks {
-    fn covers(&self, pool: &str, step: &StepSpec) -> bool {
+impl PlaceRound {
+    fn covers(&self, pool: &str, step: &StepSpec, image: ImageKey) -> bool {
         let demand = worker_book::counted_demand(step);
         self.marks.iter().any(|mark| {
             mark.pool == pool
-                && mark.best_effort.as_deref() == best_effort_image(step)
+                && mark.best_effort == step.best_effort.then_some(image)
                 && mark.least.fits(demand)
         })
     }
 
-    fn add(&mut self, pool: &str, step: &StepSpec) {
-        self.marks.push(FullMark {
-            pool: pool.to_owned(),
-            best_effort: best_effort_image(step).map(str::to_owned),
-            least: worker_book::counted_demand(step),
-        });
+    /// Steps with conditions of their own say nothing of others.
+    fn mark_full(&mut self, pool: &str, step: &StepSpec, image: ImageKey) {
+        if step.required_label.is_none() && step.per_worker == 0 {
+            self.marks.push(FullMark {
+                pool: pool.to_owned(),
+                best_effort: step.best_effort.then_some(image),
+                least: worker_book::counted_demand(step),
+            });
+        }
     }
 }
 
-fn best_effort_image(step: &StepSpec) -> Option<&str> {
-    step.best_effort.then_some(step.image.as_str())
-}
-
 impl JobCoordinator {
     /// Gives room to the steps that wait, most urgent first.
     pub(super) fn place(&mut self, now: TimePoint) {
@@ -76,9 +104,12 @@
         }
         let mut waiting = self.waiting_steps(now);
         waiting.sort_unstable_by_key(|step| step.rank);
-        let mut full = FullMarks::default();
+        let mut round = PlaceRound::default();
         for step in waiting {
-            self.place_step(&step, &mut full, now);
+            self.place_step(&step, &mut round, now);
+        }
+        if !round.marks.is_empty() {
+            self.next_place = now + CROWDED_INTERVAL;
         }
     }
 
@@ -94,9 +125,7 @@
                     if occurrence.left[index] == 0 || !occurrence.is_ready(step) {
                         continue;
                     }
-                    let first = job.first_tasks[index] as usize;
-                    let tasks = &occurrence.tasks[first..first + usize::from(step.count)];
-                    let any = tasks
+                    let any = step_tasks(job, occurrence, number)
                         .iter()
                         .any(|task| task.phase == TaskPhase::Waiting && task.not_before <= now);
                     if !any {
@@ -108,7 +137,7 @@
                         job: slot,
                         occurrence: occurrence.number,
                         step: number,
-                        pool: rule.pool,
+                        pool: rule.pool.clone(),
                     });
                 }
             }
@@ -116,48 +145,63 @@
         waiting
     }
 
-    fn place_step(&mut self, waiting: &WaitingStep, full: &mut FullMarks, now: TimePoint) {
+    fn place_step(&mut self, waiting: &WaitingStep, round: &mut PlaceRound, now: TimePoint) {
         let Some(job) = self.jobs.get(waiting.job) else {
             return;
         };
         let index = usize::from(waiting.step);
         let spec = job.spec.clone();
         let step = &spec.steps[index];
-        let plain = step.required_label.is_none() && step.per_worker == 0;
-        if full.covers(&waiting.pool, step) && !(step.best_effort && self.is_starved(waiting)) {
+        let image = job.images[index];
+        let full = round.covers(&waiting.pool, step, image);
+        let starved = step.best_effort && self.is_starved(waiting, round);
+        if full && !starved {
             return;
         }
-        let first = job.first_tasks[index];
-        let open: Vec<TaskSlot> = (first..first + u32::from(step.count))
-            .map(|task| TaskSlot {
-                job: waiting.job,
-                occurrence: waiting.occurrence,
-                task,
-            })
-            .filter(|slot| {
-                self.jobs
-                    .task(*slot)
-                    .is_some_and(|task| task.phase == TaskPhase::Waiting && task.not_before <= now)
-            })
-            .collect();
+        let open = self.open_tasks(waiting, now);
         if step.gang && open.len() < usize::from(step.count) {
             return;
         }
+        let first = TaskSlot {
+            job: waiting.job,
+            occurrence: waiting.occurrence,
+            task: job.first_tasks[index],
+        };
+        let asked = PlaceAsk {
+            step,
+            image,
+            first,
+            pool: &waiting.pool,
+        };
+        let mut candidates = self.candidates(&asked, false, now);
+        let mut limit = open.len();
+        let crowded = candidates.is_empty();
+        if crowded && starved {
+            candidates = self.candidates(&asked, true, now);
+            limit = 1;
+        }
         let mut placed = Vec::with_capacity(open.len());
-        for slot in open {
-            let starved = step.best_effort && placed.is_empty() && self.is_starved(waiting);
-            let Some(worker) = self.choose_worker(slot, step, waiting, starved, now) else {
-                if plain {
-                    full.add(&waiting.pool, step);
-                }
+        for slot in open.into_iter().take(limit) {
+            let avoid = self.jobs.task(slot).and_then(|task| task.avoid);
+            let Some(best) = best_candidate(&candidates, avoid) else {
                 break;
             };
-            self.workers.get_mut(worker).add_task(slot, step);
+            let worker = candidates[best].worker;
+            self.workers.get_mut(worker).add_task(slot, step, image);
             placed.push((slot, worker));
+            match self.candidate_score(worker, &asked, false, now) {
+                Some(score) => candidates[best].score = score,
+                None => {
+                    candidates.swap_remove(best);
+                }
+            }
+        }
+        if crowded || candidates.is_empty() {
+            round.mark_full(&waiting.pool, step, image);
         }
         if step.gang && placed.len() < usize::from(step.count) {
             for (slot, worker) in placed {
-                self.workers.get_mut(worker).remove_task(slot, step);
+                self.workers.get_mut(worker).remove_task(slot, step, image);
             }
             return;
         }
@@ -172,6 +216,26 @@
         }
     }
 
+    /// The tasks of a step that wait for a worker.
+    fn open_tasks(&self, waiting: &WaitingStep, now: TimePoint) -> Vec<TaskSlot> {
+        let Some(job) = self.jobs.get(waiting.job) else {
+            return Vec::new();
+        };
+        let Some(occurrence) = job.occurrence(waiting.occurrence) else {
+            return Vec::new();
+        };
+        let tasks = step_tasks(job, occurrence, waiting.step);
+        let first = job.first_tasks[usize::from(waiting.step)];
+        let open = tasks.iter().zip(first..);
+        open.filter(|(task, _)| task.phase == TaskPhase::Waiting && task.not_before <= now)
+            .map(|(_, task)| TaskSlot {
+                job: waiting.job,
+                occurrence: waiting.occurrence,
+                task,
+            })
+            .collect()
+    }
+
     /// Chooses a task's worker; the run is committed before its start is sent.
     fn assign(
         &mut self,
@@ -214,66 +278,67 @@
         self.log("run_placed", Some(run.task.job), detail);
     }
 
-    /// The worker that suits a task best; none when no worker has room.
-    fn choose_worker(
+    /// The workers that can take a task of a step.
+    fn candidates(&self, ask: &PlaceAsk<'_>, starved: bool, now: TimePoint) -> Vec<PlaceCandidate> {
+        let slots = self.workers.slots();
+        let scored = slots.filter_map(|worker| {
+            let score = self.candidate_score(worker, ask, starved, now)?;
+            Some(PlaceCandidate { worker, score })
+        });
+        scored.collect()
+    }
+
+    /// How well a worker suits a task of a step; none where the worker can't take it.
+    fn candidate_score(
         &self,
-        slot: TaskSlot,
-        step: &StepSpec,
-        waiting: &WaitingStep,
+        worker: WorkerSlot,
+        ask: &PlaceAsk<'_>,
         starved: bool,
         now: TimePoint,
-    ) -> Option<WorkerSlot> {
-        let job = self.jobs.get(slot.job)?;
-        let avoid = self.jobs.task(slot)?.avoid;
-        let demand = worker_book::counted_demand(step);
-        let mut best: Option<(f64, WorkerSlot)> = None;
-        for (worker, entry) in self.workers.iter() {
-            if entry.report.pool != waiting.pool
-                || !entry.is_usable(now, poll::SILENCE_LIMIT)
-                || !demand.fits(entry.free())
-            {
-                continue;
-            }
-            if let Some(label) = &step.required_label
-                && !entry.has_label(label)
-            {
-                continue;
-            }
-            let others = self.tasks_of_step(job, slot, worker);
-            if step.per_worker > 0 && others >= usize::from(step.per_worker) {
-                continue;
-            }
-            let mut score = if step.best_effort {
-                match self.best_effort_score(worker, step) {
-                    BestEffortScore::Suits(score) => score,
-                    BestEffortScore::Interferes(score) if starved => score - INTERFERING_PENALTY,
-                    BestEffortScore::Interferes(_) => continue,
-                }
-            } else if step.service {
-                self.service_score(worker, step) - others as f64 * SAME_STEP_PENALTY
-            } else {
-                share_free(entry.free(), entry.report.capacity)
-            };
-            if avoid == Some(worker) {
-                score -= AVOID_PENALTY;
-            }
-            if step
-                .data_rack
-                .as_ref()
-                .is_some_and(|rack| *rack != entry.report.rack)
-            {
-                score -= FAR_PENALTY;
-            }
-            if best.is_none_or(|(most, _)| score > most) {
-                best = Some((score, worker));
+    ) -> Option<f64> {
+        let PlaceAsk {
+            step, image, first, ..
+        } = *ask;
+        let entry = self.workers.get(worker);
+        if !worker_book::counted_demand(step).fits(entry.free())
+            || !entry.is_usable(now, poll::SILENCE_LIMIT)
+            || entry.report.pool != ask.pool
+        {
+            return None;
+        }
+        if let Some(label) = &step.required_label
+            && !entry.has_label(label)
+        {
+            return None;
+        }
+        let others = worker_book::tasks_within(&entry.tasks, first, u32::from(step.count));
+        if step.per_worker > 0 && others >= usize::from(step.per_worker) {
+            return None;
+        }
+        let mut score = if step.best_effort {
+            match self.best_effort_score(entry, step, image) {
+                BestEffortScore::Suits(score) => score,
+                BestEffortScore::Interferes(score) if starved => score - INTERFERING_PENALTY,
+                BestEffortScore::Interferes(_) => return None,
             }
+        } else if step.service {
+            pace::service_score(entry, image) - others as f64 * SAME_STEP_PENALTY
+        } else {
+            share_free(entry.free(), entry.report.capacity)
+        };
+        if step
+            .data_rack
+            .as_ref()
+            .is_some_and(|rack| *rack != entry.report.rack)
+        {
+            score -= FAR_PENALTY;
         }
-        best.map(|(_, worker)| worker)
+        Some(score)
     }
 
     /// Whether a job has nothing running while less than about half of its pool is claimed. Then one
     /// of its tasks runs even where it interferes with others, or gets little of a worker.
-    fn is_starved(&self, waiting: &WaitingStep) -> bool {
+    fn is_starved(&self, waiting: &WaitingStep, round: &mut PlaceRound) -> bool {
         let Some(job) = self.jobs.get(waiting.job) else {
             return false;
         };
@@ -281,31 +346,54 @@
         if tasks.any(|task| task.phase.is_placed()) {
             return false;
         }
+        let known = round.free_shares.iter();
+        let known = known.clone().find(|(pool, _)| *pool == waiting.pool);
+        let free = known.map(|(_, free)| *free).unwrap_or_else(|| {
+            let free = self.free_share(&waiting.pool);
+            round.free_shares.push((waiting.pool.clone(), free));
+            free
+        });
+        free > STARVED_FREE_SHARE
+    }
+
+    /// The share of a pool that no task claims.
+    fn free_share(&self, pool: &str) -> f64 {
         let mut capacity = ResourceVector::ZERO;
         let mut used = ResourceVector::ZERO;
         for (_, entry) in self.workers.iter() {
-            if entry.listed && entry.report.pool == waiting.pool {
+            if entry.listed && entry.report.pool == pool {
                 capacity = capacity + entry.report.capacity;
                 used = used + entry.used;
             }
         }
-        share_free(capacity.saturating_sub(used), capacity) > STARVED_FREE_SHARE
+        share_free(capacity.saturating_sub(used), capacity)
     }
+}
 
-    /// Tasks of the same step and occurrence that are placed on a worker.
-    fn tasks_of_step(&self, job: &JobEntry, slot: TaskSlot, worker: WorkerSlot) -> usize {
-        let step = job.step_of(slot.task);
-        self.workers
-            .get(worker)
-            .tasks
-            .iter()
-            .filter(|other| {
-                other.job == slot.job
-                    && other.occurrence == slot.occurrence
-                    && job.step_of(other.task) == step
-            })
-            .count()
+/// The tasks of a step in an occurrence.
+fn step_tasks<'a>(job: &JobEntry, occurrence: &'a OccurrenceEntry, step: u16) -> &'a [TaskEntry] {
+    let index = usize::from(step);
+    let first = job.first_tasks[index] as usize;
+    &occurrence.tasks[first..first + usize::from(job.spec.steps[index].count)]
+}
+
+/// The place of the best candidate for a task that is to avoid a worker.
+fn best_candidate(candidates: &[PlaceCandidate], avoid: Option<WorkerSlot>) -> Option<usize> {
+    let score = |candidate: &PlaceCandidate| {
+        if avoid == Some(candidate.worker) {
+            candidate.score - AVOID_PENALTY
+        } else {
+            candidate.score
+        }
+    };
+    let mut best: Option<(f64, usize)> = None;
+    for (place, candidate) in candidates.iter().enumerate() {
+        let score = score(candidate);
+        if best.is_none_or(|(most, _)| score > most) {
+            best = Some((score, place));
+        }
     }
+    best.map(|(_, place)| place)
 }
 
 /// The share of its processor time and memory that a worker has free, the scarcer of both.
--- a/sapphirewalk_core/src/coordinator/recover.rs
+++ b/sapphirewalk_core/src/coordinator/recover.rs
@@ -1,13 +1,12 @@
 //! Taking the leadership: what the record says, and what has to be waited out.
 
 use crate::coordinator::JobCoordinator;
-use crate::coordinator::JobRecord;
 use crate::coordinator::SilentWorker;
 use crate::coordinator::commit;
 use crate::coordinator::poll;
 use crate::image_interference::LearnedImage;
-use crate::job_book::JobEntry;
 use crate::job_book::JobProgress;
+use crate::job_book::JobRecord;
 use crate::job_book::JobState;
 use crate::job_book::TaskSlot;
 use crate::job_spec::JobId;
@@ -66,9 +65,8 @@
         let mut unfinished = 0usize;
         let mut unverified = 0usize;
         for record in jobs {
-            let accepted_at = record.accepted_at.min(now);
             let id = record.id;
-            let mut job = JobEntry::new(id, record.queue, record.pool, record.spec, accepted_at);
+            let mut job = self.new_job(record, now);
             let found = progress.binary_search_by_key(&id, |row| row.id);
             let row = found.ok().map(|index| progress[index].clone());
             let placed = row.map_or_else(Vec::new, |row| {
@@ -90,8 +88,8 @@
                     occurrence,
                     task,
                 };
-                if let Some(step) = self.jobs.step(task).cloned() {
-                    self.workers.get_mut(worker).add_task(task, &step);
+                if let (Some(step), Some(image)) = (self.jobs.step(task), self.jobs.image(task)) {
+                    self.workers.get_mut(worker).add_task(task, step, image);
                 }
             }
         }
--- a/sapphirewalk_core/src/image_interference.rs
+++ b/sapphirewalk_core/src/image_interference.rs
@@ -283,11 +283,10 @@
     }
 
     /// The expected logarithm of a service image's tail over its target beside these images.
-    pub fn expect(&self, service: ImageKey, loads: &[ImageLoad]) -> f64 {
+    pub fn expect(&self, service: ImageKey, loads: impl Iterator<Item = ImageLoad>) -> f64 {
         let fit = self.fits[service.0 as usize].as_ref();
         let base = fit.map_or(UNSEEN_BASE, |fit| fit.weights[0]);
         let interference: f64 = loads
-            .iter()
             .map(|load| self.weight(service, load.image) * load.share)
             .sum();
         base + interference
--- a/sapphirewalk_core/src/job_book.rs
+++ b/sapphirewalk_core/src/job_book.rs
@@ -5,6 +5,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::image_interference::ImageKey;
 use crate::job_spec::JobId;
 use crate::job_spec::JobSpec;
 use crate::job_spec::RunName;
@@ -29,6 +30,21 @@
     pub task: u32,
 }
 
+/// A job as it was accepted and stored.
+#[derive(Clone, Debug, PartialEq)]
+pub struct JobRecord {
+    /// The caller's identifier.
+    pub id: JobId,
+    /// The queue.
+    pub queue: String,
+    /// The pool that the queue had then.
+    pub pool: String,
+    /// What is to be run.
+    pub spec: JobSpec,
+    /// When it was accepted.
+    pub accepted_at: TimePoint,
+}
+
 /// What callers are told of a job.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
@@ -129,6 +145,8 @@
     pub chains: Vec<TimeSpan>,
     /// The first task of each step.
     pub first_tasks: Vec<u32>,
+    /// The image of each step.
+    pub images: Vec<ImageKey>,
     /// When it was accepted.
     pub accepted_at: TimePoint,
     /// How it ended, or `Queued` or `Running`.
@@ -231,8 +249,16 @@
 }
 
 impl JobEntry {
-    /// A job of which nothing has run.
-    pub fn new(id: JobId, queue: String, pool: String, spec: JobSpec, at: TimePoint) -> Self {
+    /// A job of which nothing has run; `image` finds the key of an image by its name.
+    pub fn new(record: JobRecord, at: TimePoint, mut image: impl FnMut(&str) -> ImageKey) -> Self {
+        let JobRecord {
+            id,
+            queue,
+            pool,
+            spec,
+            accepted_at,
+        } = record;
+        let images = spec.steps.iter().map(|step| image(&step.image)).collect();
         let chains = spec.chains();
         let mut first = 0;
         let mut first_tasks = Vec::with_capacity(spec.steps.len());
@@ -247,7 +273,8 @@
             spec: rc::Rc::new(spec),
             chains,
             first_tasks,
-            accepted_at: at,
+            images,
+            accepted_at: accepted_at.min(at),
             state: JobState::Queued,
             shown: JobState::Queued,
             ended_at: TimePoint::EPOCH,
@@ -502,6 +529,12 @@
         job.spec.steps.get(usize::from(job.step_of(slot.task)))
     }
 
+    /// The image of a task.
+    pub fn image(&self, slot: TaskSlot) -> Option<ImageKey> {
+        let job = self.get(slot.job)?;
+        job.images.get(usize::from(job.step_of(slot.task))).copied()
+    }
+
     /// The present run of a task.
     pub fn run_name(&self, slot: TaskSlot) -> Option<RunName> {
         let job = self.get(slot.job)?;
--- a/sapphirewalk_core/src/lib.rs
+++ b/sapphirewalk_core/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod admission;
 pub mod batch_policy;
+pub mod claim_summary;
 pub mod concurrency_limit;
 pub mod coordinator;
 pub mod deadline;
--- a/sapphirewalk_core/src/worker_book.rs
+++ b/sapphirewalk_core/src/worker_book.rs
@@ -2,6 +2,8 @@
 
 use std::net;
 
+use crate::claim_summary::ClaimSummary;
+use crate::image_interference::ImageKey;
 use crate::job_book::TaskSlot;
 use crate::job_spec::StepSpec;
 use crate::resource::ResourceVector;
@@ -86,6 +88,8 @@
     pub tasks: Vec<TaskSlot>,
     /// What these take.
     pub used: ResourceVector,
+    /// What these claim, by kind and image.
+    pub claims: ClaimSummary,
     /// The highest end listed and handled.
     pub seen: u64,
     /// The highest end that is committed and may be forgotten by the worker.
@@ -137,6 +141,7 @@
             inherited_until: TimePoint::EPOCH,
             tasks: Vec::new(),
             used: ResourceVector::ZERO,
+            claims: ClaimSummary::default(),
             seen: 0,
             acked: 0,
             polling: false,
@@ -203,23 +208,35 @@
     }
 
     /// Puts a task there.
-    pub fn add_task(&mut self, slot: TaskSlot, step: &StepSpec) {
+    pub fn add_task(&mut self, slot: TaskSlot, step: &StepSpec, image: ImageKey) {
         if let Err(place) = self.tasks.binary_search(&slot) {
             self.tasks.insert(place, slot);
             self.used = self.used + counted_demand(step);
+            self.claims.add(step, image);
         }
     }
 
     /// Takes a task away.
-    pub fn remove_task(&mut self, slot: TaskSlot, step: &StepSpec) {
+    pub fn remove_task(&mut self, slot: TaskSlot, step: &StepSpec, image: ImageKey) {
         if let Ok(place) = self.tasks.binary_search(&slot) {
             self.tasks.remove(place);
             self.used = self.used.saturating_sub(counted_demand(step));
+            self.claims.remove(step, image);
             self.gauges.retain(|gauge| gauge.slot != slot);
         }
     }
 }
 
+/// How many of a worker's tasks lie in a range of one occurrence's tasks.
+pub fn tasks_within(tasks: &[TaskSlot], first: TaskSlot, count: u32) -> usize {
+    let end = TaskSlot {
+        task: first.task.saturating_add(count),
+        ..first
+    };
+    let from = tasks.partition_point(|slot| *slot < first);
+    tasks[from..].partition_point(|slot| *slot < end)
+}
+
 /// What a task of the step counts against its worker's capacity.
 pub fn counted_demand(step: &StepSpec) -> ResourceVector {
     let mut demand = step.demand;
