Let entry VMs with a large share of a core lead; keep the share in the leader's row

Cause: the place in line hung on the VM's name almost alone.

Change: the leader's row holds its VM's share; VMs with much less wait for the whole line. The delay is a pure function in `sapphirewalk_core::candidate_line`.

--- a/sapphirewalk/src/entry/election.rs
+++ b/sapphirewalk/src/entry/election.rs
@@ -1,9 +1,9 @@
 //! Leader election: one process at a time holds the leader's row in the store.
 
-use std::hash::Hasher;
 use std::rc;
 use std::time;
 
+use sapphirewalk_core::candidate_line;
 use sapphirewalk_platform::store::ChangeOutcome;
 use sapphirewalk_platform::store::StoreError;
 use sapphirewalk_platform::store::StoredRow;
@@ -26,12 +26,6 @@
 const TAKE_TIMEOUT: time::Duration = time::Duration::from_millis(1_000);
 /// Time before the leader's row is read again while its holder takes or releases the leadership.
 const SETTLE_DELAY: time::Duration = time::Duration::from_millis(30);
-/// Candidates wait for a slot by their name, so that one of them is ahead of the others.
-const DELAY_SLOTS: u64 = 8;
-/// Time between two places in the line: several store calls.
-const SLOT_DELAY: time::Duration = time::Duration::from_millis(35);
-/// A VM with the whole of a core stands this much ahead of one with a tenth.
-const SHARE_DELAY_MS: f64 = 6.0;
 
 /// The leader's row as it was read.
 #[derive(Clone, Debug)]
@@ -112,7 +106,10 @@
 
 /// Tries to take the leadership, and coordinates while it is held.
 async fn contend(node: &rc::Rc<EntryNode>, view: Option<LeaderView>) {
-    tokio::time::sleep(election_delay(node)).await;
+    let own = candidate_line::cpu_millis(node.settings.cpu_share);
+    let former = view.as_ref().map(|view| view.row.cpu_millis);
+    let delay = candidate_line::delay(&node.settings.vm, own, former);
+    tokio::time::sleep(delay.into()).await;
     if node.stopping.get() {
         return;
     }
@@ -126,6 +123,7 @@
         address: node.settings.peer_address,
         batch: 0,
         released: false,
+        cpu_millis: own,
     };
     let asked_at = node.now();
     let change = records::leader_change(&row, version, None);
@@ -143,15 +141,6 @@
     }
 }
 
-/// How long this VM lets others go first: by its name, and by its share of a core.
-fn election_delay(node: &EntryNode) -> time::Duration {
-    let mut hasher = fnv::FnvHasher::default();
-    hasher.write(node.settings.vm.as_bytes());
-    let slot = u32::try_from((hasher.finish() >> 32) % DELAY_SLOTS).unwrap_or(0);
-    let share = SHARE_DELAY_MS / node.settings.cpu_share.clamp(0.01, 1.0);
-    SLOT_DELAY * slot + time::Duration::from_millis(share as u64)
-}
-
 async fn read_view(node: &EntryNode) -> Result<Option<LeaderView>, StoreError> {
     let read = node
         .store
--- a/sapphirewalk/src/entry/records.rs
+++ b/sapphirewalk/src/entry/records.rs
@@ -59,6 +59,8 @@
     pub batch: u64,
     /// It has released the leadership; anybody may take it.
     pub released: bool,
+    /// Its VM's share of a core in thousandths; VMs with much less let others go first.
+    pub cpu_millis: u64,
 }
 
 /// An accepted job as it is kept.
--- a/sapphirewalk_core/src/lib.rs
+++ b/sapphirewalk_core/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod admission;
 pub mod batch_policy;
+pub mod candidate_line;
 pub mod claim_summary;
 pub mod concurrency_limit;
 pub mod coordinator;
