--- a/sapphirewalk_core/src/coordinator/place.rs
+++ b/sapphirewalk_core/src/coordinator/place.rs
@@ -189,22 +189,7 @@
             limit = 1;
         }
         let wanted = open.len();
-        let mut placed = Vec::with_capacity(wanted);
-        for slot in open.into_iter().take(limit) {
-            let avoid = self.jobs.task(slot).and_then(|task| task.avoid);
-            let Some(best) = best_candidate(&candidates, avoid) else {
-                break;
-            };
-            let worker = candidates[best].worker;
-            self.workers.get_mut(worker).add_task(slot, step, image);
-            placed.push((slot, worker));
-            match self.candidate_score(worker, &asked, false, now) {
-                Some(score) => candidates[best].score = score,
-                None => {
-                    candidates.swap_remove(best);
-                }
-            }
-        }
+        let placed = self.spread_tasks(&asked, open, limit, &mut candidates, now);
         if pressing && placed.len() < wanted {
             let missing = wanted - placed.len();
             let priority = waiting.rank.priority;
@@ -230,6 +215,36 @@
         }
     }
 
+    /// Puts tasks of a step on the best candidates, one after another; the candidates that are left
+    /// could take one more.
+    fn spread_tasks(
+        &mut self,
+        ask: &PlaceAsk<'_>,
+        open: Vec<TaskSlot>,
+        limit: usize,
+        candidates: &mut Vec<PlaceCandidate>,
+        now: TimePoint,
+    ) -> Vec<(TaskSlot, WorkerSlot)> {
+        let mut placed = Vec::with_capacity(open.len());
+        for slot in open.into_iter().take(limit) {
+            let avoid = self.jobs.task(slot).and_then(|task| task.avoid);
+            let Some(best) = best_candidate(candidates, avoid) else {
+                break;
+            };
+            let worker = candidates[best].worker;
+            let entry = self.workers.get_mut(worker);
+            entry.add_task(slot, ask.step, ask.image);
+            placed.push((slot, worker));
+            match self.candidate_score(worker, ask, false, now) {
+                Some(score) => candidates[best].score = score,
+                None => {
+                    candidates.swap_remove(best);
+                }
+            }
+        }
+        placed
+    }
+
     /// The tasks of a step that wait for a worker.
     fn open_tasks(&self, waiting: &WaitingStep, now: TimePoint) -> Vec<TaskSlot> {
         let Some(job) = self.jobs.get(waiting.job) else {
