--- a/sapphirewalk_core/src/coordinator/displace.rs
+++ b/sapphirewalk_core/src/coordinator/displace.rs
@@ -1,8 +1,8 @@
 //! Room for urgent work on workers that less urgent work has filled.
 //!
 //! Answers long bulk tasks on all workers when urgent or service tasks come: what loses least is
-//! stopped, and goes on elsewhere or later. Best-effort work and room that is about to be free are
-//! used first, and a task of the same or a more urgent queue never has to go.
+//! stopped, and goes on elsewhere or later. Room that is about to be free is used first, and a task
+//! of the same or a more urgent queue never has to go.
 
 use crate::coordinator::JobCoordinator;
 use crate::coordinator::place::PlaceAsk;
@@ -14,8 +14,8 @@
 use crate::worker_book;
 use crate::worker_book::WorkerSlot;
 
-/// Most tasks for which one round finds room: each looks at all workers, about 0.1 ms at 490, and a
-/// burst is met over some rounds, so that work that ends meanwhile is not stopped.
+/// Most tasks for which one round finds room: each looks at all workers (not measured), and a burst
+/// is met over some rounds, so that work that ends meanwhile is not stopped.
 const ROUND_LIMIT: usize = 8;
 /// A displaced task waits for this long before it starts again: urgent work comes in bursts, and the
 /// room of one task serves several.
