Compare slow tasks with their siblings instead of their estimates

Cause: a task was restarted as soon as its rate was below 0.35 of its estimate and its remaining time above 1.3 estimates.

Ruled out: hanging workers (no run without trouble stood still for 1.4 s except under a speed limit), late reports (the last change was in the same poll).

Change: a run that is slower than its estimate is compared with the median speed of its step's other runs on other workers, all on the clocks of the workers. Without such runs it is left alone. A task is restarted as slow at most twice; the time after which it counts as stalled doubles with each restart; raising a speed limit restarts the measurement. `run_crawls` logs the speeds.

--- a/sapphirewalk_core/src/coordinator/commands.rs
+++ b/sapphirewalk_core/src/coordinator/commands.rs
@@ -7,6 +7,7 @@
 use crate::job_registry::TaskPhase;
 use crate::job_registry::TaskSlot;
 use crate::job_spec::RunName;
+use crate::run_progress::RunProgress;
 use crate::time::TimePoint;
 use crate::time::TimeSpan;
 use crate::worker_registry::WorkerSlot;
@@ -65,8 +66,7 @@
             OrderAnswer::Accepted { clock_ms } => {
                 task.phase = TaskPhase::Running;
                 task.phase_since = now;
-                task.progressed_at = now;
-                task.percent = 0;
+                task.progress = RunProgress::begin(clock_ms, 0);
                 task.start_unconfirmed = false;
                 task.confirmed_ms = clock_ms;
                 if job_ended {
--- a/sapphirewalk_core/src/coordinator/evacuate.rs
+++ b/sapphirewalk_core/src/coordinator/evacuate.rs
@@ -38,7 +38,7 @@
         if task.phase != TaskPhase::Running || task.stop_ordered {
             return false;
         }
-        let remaining = f64::from(100u32.saturating_sub(task.percent)) / 100.0;
+        let remaining = f64::from(100u32.saturating_sub(task.progress.percent())) / 100.0;
         step.service || step.estimate.scale(remaining) > time_left.scale(FINISH_SHARE)
     }
 }
--- a/sapphirewalk_core/src/coordinator/mod.rs
+++ b/sapphirewalk_core/src/coordinator/mod.rs
@@ -44,6 +44,7 @@
 use crate::job_spec::JobId;
 use crate::job_spec::JobSpec;
 use crate::job_spec::RunName;
+use crate::run_progress::RunProgress;
 use crate::time::TimePoint;
 use crate::time::TimeSpan;
 use crate::work_rule::QueueRule;
@@ -400,7 +401,7 @@
         task.not_before = now + delay;
         task.stop_ordered = false;
         task.start_unconfirmed = false;
-        task.percent = 0;
+        task.progress = RunProgress::default();
         self.place_due = true;
         self.clear_ended_job(slot.job);
     }
--- a/sapphirewalk_core/src/coordinator/pace.rs
+++ b/sapphirewalk_core/src/coordinator/pace.rs
@@ -11,6 +11,7 @@
 use crate::coordinator::Effect;
 use crate::coordinator::JobCoordinator;
 use crate::coordinator::OrderAnswer;
+use crate::coordinator::stall;
 use crate::image_interference::ImageKey;
 use crate::image_interference::ImageLoad;
 use crate::job_registry::TaskPhase;
@@ -283,6 +284,9 @@
             ),
         );
         if let Some(task) = self.jobs.task_mut(pace.slot) {
+            if task.pace < stall::MIN_JUDGED_PACE {
+                task.progress.restart_measurement();
+            }
             task.pace = percent;
         }
         self.effects.push(Effect::Pace {
@@ -407,7 +411,7 @@
     fn is_serving(&self, slot: TaskSlot) -> bool {
         self.jobs
             .task(slot)
-            .is_some_and(|task| task.phase == TaskPhase::Running && task.percent >= 100)
+            .is_some_and(|task| task.phase == TaskPhase::Running && task.progress.percent() >= 100)
     }
 }
 
--- a/sapphirewalk_core/src/coordinator/place.rs
+++ b/sapphirewalk_core/src/coordinator/place.rs
@@ -18,6 +18,7 @@
 use crate::job_registry::TaskSlot;
 use crate::job_spec::StepSpec;
 use crate::resource::ResourceVector;
+use crate::run_progress::RunProgress;
 use crate::time::TimePoint;
 use crate::time::TimeSpan;
 use crate::worker_registry;
@@ -294,6 +295,7 @@
         task.deadline_ms = 0;
         task.stop_ordered = false;
         task.preempted = false;
+        task.progress = RunProgress::default();
         task.pace = worker_registry::FULL_PACE;
         self.mark_dirty(slot.job);
         let Some(run) = self.jobs.run_name(slot) else {
--- a/sapphirewalk_core/src/coordinator/poll.rs
+++ b/sapphirewalk_core/src/coordinator/poll.rs
@@ -11,6 +11,8 @@
 use crate::job_registry::TaskPhase;
 use crate::job_registry::TaskSlot;
 use crate::job_spec::RunName;
+use crate::run_progress;
+use crate::run_progress::RunProgress;
 use crate::time::TimePoint;
 use crate::time::TimeSpan;
 use crate::worker_registry::ClockReading;
@@ -183,7 +185,7 @@
         for end in ended {
             if end.number > self.workers.get(worker).handled_end {
                 self.workers.get_mut(worker).handled_end = end.number;
-                self.on_ended(worker, end, now);
+                self.on_ended(worker, end, clock_ms, now);
             }
         }
         self.reconcile_runs(worker, clock_ms, running, now);
@@ -286,7 +288,7 @@
     }
 
     /// Handles an end that a worker lists. Ends of runs that are not current are only logged.
-    fn on_ended(&mut self, worker: WorkerSlot, end: ListedEnd, now: TimePoint) {
+    fn on_ended(&mut self, worker: WorkerSlot, end: ListedEnd, clock_ms: u64, now: TimePoint) {
         let run = end.run;
         let slot = self.jobs.find_task(run.task);
         let current = slot.filter(|slot| {
@@ -330,6 +332,9 @@
         match end.end {
             RunEnd::Done if !service => {
                 self.workers.get_mut(worker).failures = 0;
+                if let Some(task) = self.jobs.task_mut(slot) {
+                    task.progress.report(clock_ms, run_progress::DONE_PERCENT);
+                }
                 self.finish_task(slot, now);
             }
             RunEnd::Failed => self.fail_task(slot, worker, service, now),
@@ -489,12 +494,13 @@
                 task.phase = TaskPhase::Running;
                 task.phase_since = now;
             }
-            if newly_running || task.percent != listed.percent {
-                task.progressed_at = now;
+            if newly_running {
+                task.progress = RunProgress::begin(clock_ms, listed.percent);
+            } else {
+                task.progress.report(clock_ms, listed.percent);
             }
             task.start_unconfirmed = false;
             task.confirmed_ms = task.confirmed_ms.max(clock_ms);
-            task.percent = listed.percent;
             if !listed.checkpoint.is_empty() && task.checkpoint != listed.checkpoint {
                 task.checkpoint.clone_from(&listed.checkpoint);
             }
--- a/sapphirewalk_core/src/coordinator/preempt.rs
+++ b/sapphirewalk_core/src/coordinator/preempt.rs
@@ -139,7 +139,8 @@
             if !stoppable || task_priority.is_none_or(|task_priority| task_priority <= priority) {
                 continue;
             }
-            let work_done = step.estimate.as_secs_f64() * f64::from(task.percent) / 100.0;
+            let work_done =
+                step.estimate.as_secs_f64() * f64::from(task.progress.percent()) / 100.0;
             let lost_work = if step.checkpoints {
                 work_done.min(CHECKPOINT_LOSS_S)
             } else {
--- a/sapphirewalk_core/src/coordinator/stall.rs
+++ b/sapphirewalk_core/src/coordinator/stall.rs
@@ -1,95 +1,159 @@
 //! Detection of workers on which tasks stall or run slowly although polls are answered.
 //!
 //! It handles workers that hang or have become slow. They get no new tasks, and a task that would
-//! finish sooner elsewhere is stopped and restarted there.
+//! finish sooner elsewhere is stopped and restarted there. A task that is slow on all workers has a
+//! wrong estimate and is left alone.
 
 use crate::coordinator::JobCoordinator;
+use crate::job_registry::JobEntry;
+use crate::job_registry::OccurrenceEntry;
+use crate::job_registry::TaskEntry;
 use crate::job_registry::TaskPhase;
 use crate::job_registry::TaskSlot;
+use crate::job_spec::StepSpec;
+use crate::run_progress;
+use crate::run_progress::ProgressVerdict;
 use crate::time::TimePoint;
 use crate::time::TimeSpan;
 use crate::worker_registry::WorkerSlot;
 
-/// Time without a change of progress after which a task counts as stalled. It is longer than a
-/// restart from a checkpoint and than the time between two polls.
-const STALL_SPAN: TimeSpan = TimeSpan::from_millis(1_400);
-/// Minimum time for which a task must have run before its rate is judged.
-const MIN_RATE_SPAN: TimeSpan = TimeSpan::from_millis(500);
-/// Share of the expected rate below which a task counts as slow. Estimates of urgent work are off
-/// by a fifth or so.
-const SLOW_RATE: f64 = 0.35;
-/// A task is restarted elsewhere if its remaining time exceeds this multiple of its whole estimate.
-const RESTART_FACTOR: f64 = 1.3;
 /// Time for which a worker with stalled or slow tasks gets no new tasks.
 const STALL_QUARANTINE: TimeSpan = TimeSpan::from_millis(2_000);
 /// Speed limit in percent of full speed below which the progress of a best-effort task is not
 /// judged, since the limit may be what slows it.
-const MIN_JUDGED_PACE: u32 = 50;
+pub(super) const MIN_JUDGED_PACE: u32 = 50;
+/// Share of the speed by its estimate below which a task may be slow, and is compared with its
+/// siblings.
+const SUSPECT_SHARE: f64 = 0.35;
 
-/// Assessment of a task's progress.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum ProgressVerdict {
-    /// Progress is as expected, or can't be judged yet.
-    Normal,
-    /// The task is slow, but a restart elsewhere would not finish sooner.
-    Slow,
-    /// A restart elsewhere is expected to finish sooner, or the task has stalled.
-    Restart,
+/// Assessment of a task, and what it was compared with.
+#[derive(Clone, Copy, Debug)]
+struct TaskAssessment {
+    slot: TaskSlot,
+    verdict: ProgressVerdict,
+    /// Speed of the task's siblings in whole runs per second; 0 if it was not compared.
+    usual: f64,
 }
 
 impl JobCoordinator {
     /// Checks the progress of a worker's tasks after a poll. Stalled or slow tasks quarantine the
     /// worker; those worth restarting are stopped.
     pub(super) fn check_progress(&mut self, worker: WorkerSlot, now: TimePoint) {
-        let mut restarts = Vec::new();
-        let mut slow = 0usize;
-        for slot in &self.workers.get(worker).tasks {
-            match self.assess_progress(*slot, now) {
-                ProgressVerdict::Normal => {}
-                ProgressVerdict::Slow => slow += 1,
-                ProgressVerdict::Restart => restarts.push(*slot),
-            }
-        }
-        if slow == 0 && restarts.is_empty() {
+        let tasks = self.workers.get(worker).tasks.iter();
+        let assessed: Vec<TaskAssessment> = tasks
+            .map(|slot| self.assess_progress(*slot))
+            .filter(|assessed| assessed.verdict != ProgressVerdict::Normal)
+            .collect();
+        if assessed.is_empty() {
             return;
         }
         self.quarantine(worker, STALL_QUARANTINE, "tasks_crawl", now);
-        for slot in restarts {
-            if let Some(task) = self.jobs.task_mut(slot) {
-                task.avoided_worker = Some(worker);
+        for assessment in assessed {
+            match assessment.verdict {
+                ProgressVerdict::Normal | ProgressVerdict::Slow => {}
+                ProgressVerdict::RestartSlow => self.restart_task(worker, assessment, "slow"),
+                ProgressVerdict::RestartStalled => {
+                    self.restart_task(worker, assessment, "stalled");
+                }
             }
-            self.order_stop(slot, "stalled");
         }
     }
 
+    /// Stops a task so that it is placed on another worker.
+    fn restart_task(
+        &mut self,
+        worker: WorkerSlot,
+        assessment: TaskAssessment,
+        reason: &'static str,
+    ) {
+        let slot = assessment.slot;
+        let run = self.jobs.run_name(slot);
+        let Some(task) = self.jobs.task_mut(slot) else {
+            return;
+        };
+        let detail = format!(
+            "run={} percent={} speed={:.2} usual={:.2} restarts={} cause={reason}",
+            run.map_or_else(String::new, |run| run.to_string()),
+            task.progress.percent(),
+            task.progress.speed().unwrap_or(0.0),
+            assessment.usual,
+            task.restarts
+        );
+        task.avoided_worker = Some(worker);
+        task.restarts = task.restarts.saturating_add(1);
+        self.log("run_crawls", run.map(|run| run.task.job), detail);
+        self.order_stop(slot, reason);
+    }
+
     /// Assesses the progress of a running task; service tasks are not judged.
-    fn assess_progress(&self, slot: TaskSlot, now: TimePoint) -> ProgressVerdict {
+    fn assess_progress(&self, slot: TaskSlot) -> TaskAssessment {
+        let normal = TaskAssessment {
+            slot,
+            verdict: ProgressVerdict::Normal,
+            usual: 0.0,
+        };
         let (Some(step), Some(task)) = (self.jobs.step(slot), self.jobs.task(slot)) else {
-            return ProgressVerdict::Normal;
+            return normal;
         };
         let judged = task.phase == TaskPhase::Running && !task.stop_ordered && !step.service;
         if !judged || (step.best_effort && task.pace < MIN_JUDGED_PACE) {
-            return ProgressVerdict::Normal;
-        }
-        if now.since(task.progressed_at) >= STALL_SPAN {
-            return ProgressVerdict::Restart;
+            return normal;
         }
-        let elapsed = now.since(task.phase_since);
-        let resumed = !task.checkpoint.is_empty();
-        if step.best_effort || resumed || elapsed < MIN_RATE_SPAN {
-            return ProgressVerdict::Normal;
+        if task.progress.is_stalled(task.restarts) {
+            let verdict = ProgressVerdict::RestartStalled;
+            return TaskAssessment { verdict, ..normal };
         }
-        let estimate_s = step.estimate.as_secs_f64();
-        let done = f64::from(task.percent) / 100.0;
-        let rate = done * estimate_s / elapsed.as_secs_f64();
-        if rate >= SLOW_RATE {
-            return ProgressVerdict::Normal;
+        if step.best_effort || !is_suspect(step, task) {
+            return normal;
         }
-        let remaining_s = (1.0 - done) * estimate_s / rate.max(f64::MIN_POSITIVE);
-        if remaining_s > estimate_s * RESTART_FACTOR {
-            ProgressVerdict::Restart
-        } else {
-            ProgressVerdict::Slow
+        let Some(usual) = self.sibling_speed(slot, step, task) else {
+            return normal;
+        };
+        TaskAssessment {
+            slot,
+            verdict: task.progress.compare(usual, task.restarts),
+            usual,
         }
     }
+
+    /// Median speed of a step's other tasks on other workers, in whole runs per second. Tasks in
+    /// the rack of the step's data are compared with each other only. `None` if there are none.
+    fn sibling_speed(&self, slot: TaskSlot, step: &StepSpec, task: &TaskEntry) -> Option<f64> {
+        let job = self.jobs.get(slot.job)?;
+        let occurrence = job.occurrence(slot.occurrence)?;
+        let is_near = |task: &TaskEntry| {
+            let rack = task
+                .worker
+                .map(|worker| &self.workers.get(worker).listing.rack);
+            step.data_rack.is_none() || step.data_rack.as_ref() == rack
+        };
+        let near = is_near(task);
+        let mut speeds: Vec<f64> = step_siblings(job, occurrence, slot)
+            .iter()
+            .filter(|sibling| sibling.worker != task.worker && is_near(sibling) == near)
+            .filter(|sibling| {
+                sibling.phase == TaskPhase::Running || sibling.phase == TaskPhase::Done
+            })
+            .filter_map(|sibling| sibling.progress.speed())
+            .collect();
+        run_progress::median_speed(&mut speeds)
+    }
+}
+
+/// Whether a task is slower than its estimate suggests.
+fn is_suspect(step: &StepSpec, task: &TaskEntry) -> bool {
+    let estimated = 1.0 / step.estimate.as_secs_f64().max(f64::MIN_POSITIVE);
+    let speed = task.progress.speed();
+    speed.is_some_and(|speed| speed < estimated * SUSPECT_SHARE)
+}
+
+/// All tasks of a task's step, itself included.
+fn step_siblings<'a>(
+    job: &JobEntry,
+    occurrence: &'a OccurrenceEntry,
+    slot: TaskSlot,
+) -> &'a [TaskEntry] {
+    let step = usize::from(job.step_of(slot.task));
+    let first = job.first_tasks[step] as usize;
+    &occurrence.tasks[first..first + usize::from(job.spec.steps[step].count)]
 }
--- a/sapphirewalk_core/src/job_registry.rs
+++ b/sapphirewalk_core/src/job_registry.rs
@@ -13,6 +13,7 @@
 use crate::job_spec::StepSpec;
 use crate::job_spec::TaskName;
 use crate::load_trend::LoadTrend;
+use crate::run_progress::RunProgress;
 use crate::time::TimePoint;
 use crate::time::TimeSpan;
 use crate::worker_registry::WorkerSlot;
@@ -115,10 +116,10 @@
     pub stop_ordered: bool,
     /// The run is stopped to make room for more urgent work, which delays the next run.
     pub preempted: bool,
-    /// Progress in percent, from the worker's last answer; 100 for a service task that serves.
-    pub percent: u32,
-    /// When `percent` last changed or the run began; used to detect stalls.
-    pub progressed_at: TimePoint,
+    /// Progress of the present run, or of the last one of a task that is done.
+    pub progress: RunProgress,
+    /// How often runs were stopped because they made little progress.
+    pub restarts: u8,
     /// Speed limit of a best-effort task in percent of full speed, 0 to 100; set when a
     /// change is ordered. [`FULL_PACE`](crate::worker_registry::FULL_PACE) at the start of a run,
     /// and after a change that the worker did not accept. An eviction orders 0 but doesn't set it.
--- a/sapphirewalk_core/src/lib.rs
+++ b/sapphirewalk_core/src/lib.rs
@@ -51,6 +51,7 @@
 pub mod resource;
 pub mod retry_budget;
 pub mod rollout_order;
+pub mod run_progress;
 pub mod seat_division;
 pub mod shard_lease;
 pub mod share_ledger;
--- a/sapphirewalk_core/tests/coordinator/faults.rs
+++ b/sapphirewalk_core/tests/coordinator/faults.rs
@@ -111,6 +111,7 @@
             slow_workers: vec![(6, 5_000, 12_000, 0.0), (7, 8_000, 14_000, 0.2)],
             failing_runs: 0.02,
             new_ids_after_crash: seed % 2 == 0,
+            ..FaultPlan::default()
         };
         assert_jobs_ended(seed, &run_trial(seed, plan));
     }
--- a/sapphirewalk_core/tests/coordinator/main.rs
+++ b/sapphirewalk_core/tests/coordinator/main.rs
@@ -5,4 +5,5 @@
 mod faults;
 mod job_lifecycle;
 mod load;
+mod progress;
 mod simulation;
--- a/sapphirewalk_core/tests/coordinator/simulation.rs
+++ b/sapphirewalk_core/tests/coordinator/simulation.rs
@@ -74,6 +74,8 @@
     pub slow_workers: Vec<(usize, u64, u64, f64)>,
     /// Share of runs that fail at their end.
     pub failing_runs: f64,
+    /// Jobs whose tasks take a multiple of their estimate: job, factor.
+    pub wrong_estimates: Vec<(u64, f64)>,
 }
 
 /// Description of a violated invariant.
@@ -223,6 +225,8 @@
     /// Time for which a service task's tail was over its target, in milliseconds, summed over the
     /// workers.
     pub over_target_ms: u64,
+    /// Reason of each stop order that a leader sent.
+    pub stop_reasons: Vec<String>,
     /// Start orders that a worker refused with [`OrderAnswer::NoRoom`].
     pub no_room_answers: u32,
     /// Whether the store drops the learned images instead of storing them.
@@ -292,6 +296,7 @@
             completed: collections::BTreeMap::new(),
             violations: Vec::new(),
             over_target_ms: 0,
+            stop_reasons: Vec::new(),
             no_room_answers: 0,
             drops_learned_images: false,
             leaving_workers: Vec::new(),
@@ -556,7 +561,13 @@
 
     fn dispatch_effect(&mut self, leader: usize, effect: Effect) {
         let order = match effect {
-            Effect::Log(_) => return,
+            Effect::Log(record) => {
+                if record.event == "run_stop" {
+                    let reason = record.detail.split("reason=").nth(1).unwrap_or_default();
+                    self.stop_reasons.push(reason.to_owned());
+                }
+                return;
+            }
             Effect::StepDown => {
                 self.leaders[leader].alive = false;
                 return;
@@ -931,7 +942,12 @@
             return OrderAnswer::NoRoom;
         }
         worker.deadline_ms = worker.extended_deadline(deadline_ms, now_ms);
-        let work = step.estimate.as_millis();
+        let wrong_estimates = self.plan.wrong_estimates.iter();
+        let factor = wrong_estimates
+            .filter(|(job, _)| JobId(*job) == run.task.job)
+            .map(|(_, factor)| factor)
+            .product::<f64>();
+        let work_ms = step.estimate.as_millis() as f64 * factor;
         worker.runs.push(ModelRun {
             name: run,
             fails,
@@ -942,8 +958,8 @@
             best_effort: step.best_effort,
             image: step.image.clone(),
             stop_ends_at_ms: u64::MAX,
-            remaining_work_ms: work as f64,
-            total_work_ms: work as f64,
+            remaining_work_ms: work_ms,
+            total_work_ms: work_ms,
         });
         self.check_start(number, run, spec);
         OrderAnswer::Accepted { clock_ms }
