--- a/sapphirewalk/src/gateway/attempt.rs
+++ b/sapphirewalk/src/gateway/attempt.rs
@@ -23,6 +23,8 @@
 use sapphirewalk_core::request_outcome::AttemptKey;
 use sapphirewalk_core::request_outcome::OutcomeStep;
 use sapphirewalk_core::request_outcome::RequestState;
+use sapphirewalk_core::slot_hold::SendStep;
+use sapphirewalk_core::slot_hold::SlotHold;
 use sapphirewalk_core::time::TimePoint;
 use sapphirewalk_core::time::TimeSpan;
 use sapphirewalk_wire::endpoint;
@@ -84,23 +86,25 @@
     let Some(connection) = open(&gateway, &mut plan).await else {
         return Some(attempt_result(&plan, AttemptEvent::NotSent, None));
     };
+    let margin = TimeSpan::from_millis(gateway.process.settings.gateway.slot_margin_ms);
+    let deadline = plan.request.deadline;
+    let SendStep::Send(hold) = SlotHold::begin(deadline, margin, gateway.now()) else {
+        gateway.pool.put(connection);
+        return Some(attempt_result(&plan, AttemptEvent::NotSent, None));
+    };
     if record_first_byte(&gateway, &plan) != OutcomeStep::Wait {
         gateway.pool.put(connection);
         return None;
     }
-    let sent_at = gateway.now();
-    let slot_until = slot_end(&gateway, &plan.request);
     // The attempt outlasts the deadline, so that its slot stays in use while the endpoint works.
-    let limit = (slot_until + plan.request.longest_deadline)
-        .since(sent_at)
-        .into();
+    let limit = deadline.point() + margin + plan.request.longest_deadline;
+    let limit = limit.since(hold.sent_at()).into();
     let exchange = exchange(&gateway, &plan.request, connection);
     let end = match tokio::time::timeout(limit, exchange).await {
         Ok(end) => end,
         Err(_) => ExchangeResult::TimedOut,
     };
-    let latency = gateway.now().since(sent_at);
-    Some(conclude(&gateway, plan, end, latency, slot_until))
+    Some(conclude(&gateway, plan, end, hold))
 }
 
 /// Opens a connection to the endpoint of the slot. If that fails, takes a slot at another endpoint.
@@ -116,12 +120,6 @@
     }
 }
 
-/// Point until which an endpoint may still work on a request: its deadline and a margin.
-pub fn slot_end(gateway: &Gateway, request: &GatewayRequest) -> TimePoint {
-    let margin = TimeSpan::from_millis(gateway.process.settings.gateway.slot_margin_ms);
-    request.deadline.point() + margin
-}
-
 /// Locks the state of a request. A lock that is poisoned by a panic is used nevertheless.
 pub fn lock(state: &SharedState) -> std::sync::MutexGuard<'_, RequestState> {
     state.lock().unwrap_or_else(PoisonError::into_inner)
@@ -154,9 +152,9 @@
     gateway: &Arc<Gateway>,
     plan: AttemptPlan,
     end: ExchangeResult,
-    latency: TimeSpan,
-    slot_until: TimePoint,
+    hold: SlotHold,
 ) -> AttemptResult {
+    let now = gateway.now();
     let endpoint = plan.grant.slot.endpoint;
     let (event, answer) = match end {
         ExchangeResult::Answered(answer, connection) => {
@@ -172,11 +170,11 @@
         ExchangeResult::Broken => (AttemptEvent::Broken, None),
         ExchangeResult::TimedOut => (AttemptEvent::TimedOut, None),
     };
-    record_sample(gateway, &plan, event, latency);
+    record_sample(gateway, &plan, event, now.since(hold.sent_at()));
     let end = attempt_result(&plan, event, answer);
-    if event == AttemptEvent::Broken {
+    if matches!(event, AttemptEvent::Broken | AttemptEvent::TimedOut) {
         // The endpoint may still work on the request.
-        plan.grant.guard.hold_until(slot_until);
+        plan.grant.guard.hold_until(hold.release_at(now));
     }
     end
 }
--- a/sapphirewalk_core/src/lib.rs
+++ b/sapphirewalk_core/src/lib.rs
@@ -56,6 +56,7 @@
 pub mod shard_lease;
 pub mod share_ledger;
 pub mod size_estimate;
+pub mod slot_hold;
 pub mod slot_share;
 pub mod task_failure;
 pub mod task_lifecycle;
