--- a/sapphirewalk/src/entry/driver.rs
+++ b/sapphirewalk/src/entry/driver.rs
@@ -12,6 +12,7 @@
 use sapphirewalk_core::coordinator::OrderAnswer;
 use sapphirewalk_core::coordinator::PollAnswer;
 use sapphirewalk_core::time::TimePoint;
+use sapphirewalk_core::time::TimeSpan;
 use sapphirewalk_core::worker_registry::WorkerListing;
 use sapphirewalk_platform::discovery;
 use sapphirewalk_platform::discovery::WorkerList;
@@ -41,6 +42,8 @@
 /// Wait time of a long poll on the job feed. It is short so that a dead connection is detected
 /// soon.
 const FEED_WAIT: time::Duration = time::Duration::from_millis(2_000);
+/// Interval between measurements of the leader's lag.
+const LAG_INTERVAL: time::Duration = time::Duration::from_millis(50);
 /// Interval between reads of the worker list. No new task may start on a leaving worker later than
 /// 2 s after its notice.
 const WORKER_LIST_INTERVAL: time::Duration = time::Duration::from_millis(700);
@@ -113,6 +116,7 @@
     let mut tasks = task::JoinSet::new();
     tasks.spawn_local(list_workers(driver.clone()));
     tasks.spawn_local(follow_jobs(driver.clone(), feed_from));
+    tasks.spawn_local(measure_lag(driver.clone()));
     if let Some(predecessor) = predecessor {
         tasks.spawn_local(watch_predecessor(driver.clone(), predecessor));
     }
@@ -364,6 +368,17 @@
     }
 }
 
+/// Measures how late the process handles timers, which is how long its other work waits.
+async fn measure_lag(driver: rc::Rc<LeaderDriver>) {
+    loop {
+        let due = tokio::time::Instant::now() + LAG_INTERVAL;
+        tokio::time::sleep_until(due).await;
+        let lag = TimeSpan::from(due.elapsed());
+        driver.node.metrics.lag_ms.record(lag);
+        driver.coordinator.borrow_mut().observe_lag(lag);
+    }
+}
+
 /// Reads the platform's worker list at a fixed interval.
 async fn list_workers(driver: rc::Rc<LeaderDriver>) {
     let node = &driver.node;
--- a/sapphirewalk/src/entry/metric.rs
+++ b/sapphirewalk/src/entry/metric.rs
@@ -85,6 +85,8 @@
         state_ms,
         /// From requesting the leadership to the point at which decisions can begin.
         takeover_ms,
+        /// How late the leader handled a timer; its other work waits as long.
+        lag_ms,
     }
 }
 
--- a/sapphirewalk_core/src/coordinator/commit.rs
+++ b/sapphirewalk_core/src/coordinator/commit.rs
@@ -244,7 +244,7 @@
             if entry.born_ms == born_ms {
                 entry.acked_end = entry.acked_end.max(seen);
             }
-            let next_poll = entry.next_poll.min(now);
+            let next_poll = entry.next_poll.min(now + self.leader_lag.poll_delay());
             self.schedule_poll(worker, next_poll);
         }
         for slot in batch.starts {
--- a/sapphirewalk_core/src/coordinator/mod.rs
+++ b/sapphirewalk_core/src/coordinator/mod.rs
@@ -45,6 +45,8 @@
 use crate::job_spec::JobId;
 use crate::job_spec::JobSpec;
 use crate::job_spec::RunName;
+use crate::leader_lag::LagStep;
+use crate::leader_lag::LeaderLag;
 use crate::run_progress::RunProgress;
 use crate::time::TimePoint;
 use crate::time::TimeSpan;
@@ -82,6 +84,7 @@
     removed: Vec<JobId>,
     commit: commit::CommitState,
     poll_queue: poll_queue::PollQueue,
+    leader_lag: LeaderLag,
     /// Something changed that may let waiting tasks be placed.
     place_due: bool,
     next_place: TimePoint,
@@ -113,6 +116,7 @@
             removed: Vec::new(),
             commit: commit::CommitState::new(now),
             poll_queue: poll_queue::PollQueue::default(),
+            leader_lag: LeaderLag::default(),
             place_due: false,
             next_place: now,
             preempted_at: TimePoint::EPOCH,
@@ -215,6 +219,17 @@
         }
     }
 
+    /// Records how late the process handled a timer. A process that lags polls less often.
+    pub fn observe_lag(&mut self, sample: TimeSpan) {
+        let event = match self.leader_lag.observe(sample) {
+            LagStep::Unchanged => return,
+            LagStep::Shed => "leader_lagging",
+            LagStep::Recover => "leader_keeping_up",
+        };
+        let detail = format!("lag={}", self.leader_lag.lag());
+        self.log(event, None, detail);
+    }
+
     /// Performs the work that is due and returns the effects; to be called after events and at
     /// `next_wake`.
     pub fn run(&mut self, now: TimePoint) -> Vec<Effect> {
--- a/sapphirewalk_core/src/coordinator/poll.rs
+++ b/sapphirewalk_core/src/coordinator/poll.rs
@@ -176,7 +176,7 @@
         }
         let newly_adopted = !entry.fence_confirmed;
         entry.fence_confirmed = true;
-        self.schedule_poll(worker, now);
+        self.schedule_poll(worker, now + self.leader_lag.poll_delay());
         if newly_adopted || was_lost {
             self.place_due = true;
             self.commit.send_early |= self.workers.get(worker).recorded_silent;
--- a/sapphirewalk_core/src/lib.rs
+++ b/sapphirewalk_core/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod job_spec;
 pub mod key;
 pub mod latency_histogram;
+pub mod leader_lag;
 pub mod load_trend;
 pub mod peer_choice;
 pub mod placement;
--- a/sapphirewalk_core/tests/coordinator/load.rs
+++ b/sapphirewalk_core/tests/coordinator/load.rs
@@ -275,3 +275,27 @@
         }
     }
 }
+
+/// Runs bulk jobs with a leader whose process has this lag; returns how many polls it sent.
+fn count_polls(leader_lag_ms: u64) -> usize {
+    let mut simulation = ClusterSimulation::new(8, 24, FaultPlan::default());
+    simulation.leader_lag_ms = leader_lag_ms;
+    for id in 0..120 {
+        let steps = vec![simulation::step(16, 1_000, 600, &[])];
+        simulation.submit(2_000 + id * 100, id, "bulk", steps);
+    }
+    simulation.run_until(40_000);
+    assert_eq!(simulation.violations, Vec::<String>::new());
+    assert_eq!(simulation.completed.len(), 120);
+    // No worker is taken for lost: each task starts once.
+    let starts: u32 = (0..120).map(|id| simulation.start_count(id)).sum();
+    assert_eq!(starts, 120 * 16);
+    simulation.polls
+}
+
+#[test]
+fn a_leader_short_of_processor_time_halves_its_polls_and_loses_no_worker() {
+    let usual = count_polls(0);
+    let lagging = count_polls(300);
+    assert!(lagging * 2 < usual, "{lagging} polls, {usual} without lag");
+}
--- a/sapphirewalk_core/tests/coordinator/simulation.rs
+++ b/sapphirewalk_core/tests/coordinator/simulation.rs
@@ -225,6 +225,11 @@
     /// Time for which a service task's tail was over its target, in milliseconds, summed over the
     /// workers.
     pub over_target_ms: u64,
+    /// Polls that leaders sent.
+    pub polls: usize,
+    /// Lag of leaders' processes in milliseconds, which they observe each time the list of workers
+    /// is read.
+    pub leader_lag_ms: u64,
     /// Reason of each stop order that a leader sent.
     pub stop_reasons: Vec<String>,
     /// Start orders that a worker refused with [`OrderAnswer::NoRoom`].
@@ -296,6 +301,8 @@
             completed: collections::BTreeMap::new(),
             violations: Vec::new(),
             over_target_ms: 0,
+            polls: 0,
+            leader_lag_ms: 0,
             stop_reasons: Vec::new(),
             no_room_answers: 0,
             drops_learned_images: false,
@@ -536,6 +543,8 @@
             if self.leaders[number].alive {
                 let leader = &mut self.leaders[number];
                 leader.coordinator.set_workers(listings.clone(), now);
+                let lag = TimeSpan::from_millis(self.leader_lag_ms);
+                leader.coordinator.observe_lag(lag);
                 self.run_leader(number);
             }
         }
@@ -620,6 +629,7 @@
                 until_ms: self.now_ms + wait_ms,
             },
         };
+        self.polls += usize::from(matches!(order, Order::Poll { .. }));
         let port = order.target().address.port();
         let worker = usize::from(port - FIRST_PORT);
         let born_ms = self.workers[worker].born_ms;
