Treat answers with an absurd clock as unreadable

Cause: a worker's clock near the largest number overflowed the computation of its lease: a panic with checks, a wrong deadline without. Found by a new test that answers a coordinator's orders with absurd numbers, unknown runs and repeated ends, drawn from 60 seeds; it failed at once at lease_deadline and passes with the bound of 2^48 ms.

--- a/sapphirewalk_core/src/coordinator/event.rs
+++ b/sapphirewalk_core/src/coordinator/event.rs
@@ -271,6 +271,34 @@
     pub detail: String,
 }
 
+/// Highest clock reading that a worker can have, in ms: thousands of years after its start. Answers
+/// with a higher one are unreadable.
+const HIGHEST_CLOCK_MS: u64 = 1 << 48;
+/// Status in [`PollAnswer::Refused`] for an answer that can't be read.
+const UNREADABLE_STATUS: u16 = 200;
+
+impl PollAnswer {
+    /// The answer, or a refusal if its figures can't be true.
+    pub(super) fn checked(self) -> Self {
+        match self {
+            Self::Lists { clock_ms, .. } if clock_ms > HIGHEST_CLOCK_MS => {
+                Self::Refused(UNREADABLE_STATUS)
+            }
+            answer => answer,
+        }
+    }
+}
+
+impl OrderAnswer {
+    /// The answer; it counts as lost if its figures can't be true.
+    pub(super) const fn checked(self) -> Self {
+        match self {
+            Self::Accepted { clock_ms } if clock_ms > HIGHEST_CLOCK_MS => Self::Missing,
+            answer => answer,
+        }
+    }
+}
+
 impl RunEnd {
     /// Name of the end in logs.
     pub const fn as_str(self) -> &'static str {
--- a/sapphirewalk_core/src/coordinator/mod.rs
+++ b/sapphirewalk_core/src/coordinator/mod.rs
@@ -199,23 +199,23 @@
                 worker,
                 deadline_ms,
                 answer,
-            } => self.on_polled(worker, deadline_ms, answer, now),
+            } => self.on_polled(worker, deadline_ms, answer.checked(), now),
             Event::Started {
                 worker,
                 run,
                 answer,
-            } => self.on_started(worker, run, answer, now),
+            } => self.on_started(worker, run, answer.checked(), now),
             Event::Stopped {
                 worker,
                 run,
                 answer,
-            } => self.on_stopped(worker, run, answer, now),
+            } => self.on_stopped(worker, run, answer.checked(), now),
             Event::Paced {
                 worker,
                 run,
                 percent,
                 answer,
-            } => self.on_paced(worker, run, percent, answer),
+            } => self.on_paced(worker, run, percent, answer.checked()),
         }
     }
 
--- a/sapphirewalk_core/tests/coordinator/main.rs
+++ b/sapphirewalk_core/tests/coordinator/main.rs
@@ -5,5 +5,6 @@
 mod faults;
 mod job_lifecycle;
 mod load;
+mod malformed;
 mod progress;
 mod simulation;
--- /dev/null
+++ b/sapphirewalk_core/tests/coordinator/malformed.rs
@@ -0,0 +1,230 @@
+//! Absurd answers of workers, drawn from seeds, end no coordinator.
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use sapphirewalk_core::coordinator::CoordinatorLimits;
+use sapphirewalk_core::coordinator::Effect;
+use sapphirewalk_core::coordinator::Event;
+use sapphirewalk_core::coordinator::JobCoordinator;
+use sapphirewalk_core::coordinator::JobRecord;
+use sapphirewalk_core::coordinator::ListedEnd;
+use sapphirewalk_core::coordinator::ListedRun;
+use sapphirewalk_core::coordinator::OrderAnswer;
+use sapphirewalk_core::coordinator::OrderTarget;
+use sapphirewalk_core::coordinator::PollAnswer;
+use sapphirewalk_core::coordinator::RunEnd;
+use sapphirewalk_core::job_spec::JobId;
+use sapphirewalk_core::job_spec::JobSpec;
+use sapphirewalk_core::job_spec::RunName;
+use sapphirewalk_core::job_spec::TaskName;
+use sapphirewalk_core::resource::ResourceVector;
+use sapphirewalk_core::time::TimePoint;
+use sapphirewalk_core::time::TimeSpan;
+use sapphirewalk_core::worker_registry::WorkerListing;
+
+use crate::simulation;
+
+const START_MS: u64 = 1_000_000;
+const WORKERS: u16 = 4;
+const JOBS: u64 = 6;
+
+/// Draws values that a worker of another version, or a broken one, might send.
+struct AnswerGenerator {
+    rng: ChaCha8Rng,
+}
+
+impl AnswerGenerator {
+    fn number(&mut self) -> u64 {
+        match self.rng.random_range(0..6) {
+            0 => 0,
+            1 => u64::MAX,
+            2 => u64::MAX - self.rng.random_range(0..10_000),
+            3 => i64::MAX as u64,
+            4 => self.rng.random(),
+            _ => self.rng.random_range(0..100_000),
+        }
+    }
+
+    fn run(&mut self) -> RunName {
+        let mut small = |limit| self.rng.random_range(0..limit);
+        let task = TaskName {
+            job: JobId(small(JOBS + 2)),
+            occurrence: u32::try_from(small(2)).unwrap(),
+            step: u16::try_from(small(4)).unwrap(),
+            index: u16::try_from(small(12)).unwrap(),
+        };
+        let attempt = if small(3) == 0 { u32::MAX } else { 1 };
+        RunName { task, attempt }
+    }
+
+    fn gauge(&mut self) -> Option<f64> {
+        match self.rng.random_range(0..6) {
+            0 => None,
+            1 => Some(f64::NAN),
+            2 => Some(f64::INFINITY),
+            3 => Some(-1e300),
+            _ => Some(self.rng.random_range(0.0..1e6)),
+        }
+    }
+
+    fn lists(&mut self, placed: &[RunName]) -> PollAnswer {
+        let mut running = Vec::new();
+        let mut ended = Vec::new();
+        for run in placed {
+            if self.rng.random_bool(0.7) {
+                running.push(self.listed(*run));
+            }
+        }
+        for _ in 0..self.rng.random_range(0..4) {
+            let run = self.run();
+            running.push(self.listed(run));
+            let run = self.run();
+            let ends = [RunEnd::Done, RunEnd::Failed, RunEnd::Lapsed];
+            ended.push(ListedEnd {
+                number: self.number(),
+                run,
+                end: ends[self.rng.random_range(0..3)],
+                checkpoint: "x".repeat(self.rng.random_range(0..100)),
+            });
+        }
+        PollAnswer::Lists {
+            clock_ms: self.number(),
+            born_ms: self.number(),
+            running,
+            ended,
+        }
+    }
+
+    fn listed(&mut self, run: RunName) -> ListedRun {
+        ListedRun {
+            run,
+            checkpoint: String::new(),
+            percent: self.number() as u32,
+            gauge: self.gauge(),
+        }
+    }
+
+    fn order_answer(&mut self) -> OrderAnswer {
+        match self.rng.random_range(0..6) {
+            0 => OrderAnswer::Superseded,
+            1 => OrderAnswer::Missing,
+            2 => OrderAnswer::Malformed,
+            _ => OrderAnswer::Accepted {
+                clock_ms: self.number(),
+            },
+        }
+    }
+
+    /// The answer to an effect; `None` if it needs none.
+    fn answer(&mut self, effect: Effect, placed: &mut Vec<RunName>) -> Option<Event> {
+        match effect {
+            Effect::Commit(batch) => Some(Event::Committed(batch.number)),
+            Effect::Start { target, run, .. } => {
+                placed.push(run);
+                Some(Event::Started {
+                    worker: target.worker,
+                    run,
+                    answer: self.order_answer(),
+                })
+            }
+            Effect::Stop { target, run } => Some(Event::Stopped {
+                worker: target.worker,
+                run,
+                answer: self.order_answer(),
+            }),
+            Effect::Poll {
+                target: OrderTarget { worker, .. },
+                deadline_ms,
+                ..
+            } => Some(Event::Polled {
+                worker,
+                deadline_ms,
+                answer: self.lists(placed),
+            }),
+            Effect::Pace {
+                target,
+                run,
+                percent,
+            } => Some(Event::Paced {
+                worker: target.worker,
+                run,
+                percent,
+                answer: self.order_answer(),
+            }),
+            Effect::StepDown | Effect::Log(_) => None,
+        }
+    }
+}
+
+fn listing(number: u16) -> WorkerListing {
+    WorkerListing {
+        id: format!("w{number}"),
+        pool: "pool".to_owned(),
+        address: ([127, 0, 0, 1], 1_000 + number).into(),
+        domain: "domain".to_owned(),
+        rack: "r0".to_owned(),
+        labels: Vec::new(),
+        capacity: ResourceVector {
+            cpu_millis: 16_000,
+            memory_mib: 64_000,
+            accelerators: 0,
+        },
+        draining: false,
+        leaves_in: TimeSpan::ZERO,
+        born_ms: 0,
+    }
+}
+
+fn record(id: u64, now: TimePoint) -> JobRecord {
+    let mut steps = vec![
+        simulation::step(4, 1_000, 300, &[]),
+        simulation::step(3, 500, 200, &[0]),
+    ];
+    steps[0].best_effort = id.is_multiple_of(3);
+    steps[0].service = id % 3 == 1;
+    steps[0].tail_target = TimeSpan::from_millis(20);
+    JobRecord {
+        id: JobId(id),
+        queue: "bulk".to_owned(),
+        pool: "pool".to_owned(),
+        spec: JobSpec {
+            spec: "text".to_owned(),
+            steps,
+            schedule: None,
+        },
+        accepted_at: now,
+    }
+}
+
+#[test]
+fn absurd_answers_of_workers_end_no_coordinator() {
+    for seed in 0..60 {
+        let mut generator = AnswerGenerator {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+        };
+        let limits = CoordinatorLimits {
+            longest_lease: TimeSpan::from_millis(10_000),
+            retention: TimeSpan::from_secs(120),
+            harm_tolerance: TimeSpan::from_secs(4),
+        };
+        let mut now = TimePoint::from_millis(START_MS);
+        let mut coordinator = JobCoordinator::new(limits, 1, now);
+        coordinator.set_workers((0..WORKERS).map(listing).collect(), now);
+        for id in 0..JOBS {
+            coordinator.handle(Event::Stored(record(id, now)), now);
+        }
+        let mut placed = Vec::new();
+        for _ in 0..300 {
+            now = now + TimeSpan::from_millis(20);
+            let effects = coordinator.run(now);
+            let events = effects
+                .into_iter()
+                .filter_map(|effect| generator.answer(effect, &mut placed));
+            let events: Vec<Event> = events.collect();
+            for event in events {
+                coordinator.handle(event, now);
+            }
+        }
+    }
+}
