--- a/sapphirewalk_core/src/coordinator/commands.rs
+++ b/sapphirewalk_core/src/coordinator/commands.rs
@@ -67,8 +67,7 @@
                 task.phase = TaskPhase::Running;
                 task.phase_since = now;
                 task.progress = RunProgress::begin(clock_ms, 0);
-                task.start_unconfirmed = false;
-                task.confirmed_ms = clock_ms;
+                task.confirm_run(clock_ms);
                 if job_ended {
                     self.order_stop(slot, "job_over");
                 }
--- a/sapphirewalk_core/src/coordinator/mod.rs
+++ b/sapphirewalk_core/src/coordinator/mod.rs
@@ -8,6 +8,7 @@
 
 mod commands;
 mod commit;
+mod crash;
 mod evacuate;
 mod event;
 mod pace;
--- a/sapphirewalk_core/src/coordinator/place.rs
+++ b/sapphirewalk_core/src/coordinator/place.rs
@@ -309,6 +309,7 @@
         task.phase = TaskPhase::Recording;
         task.worker = Some(worker);
         task.phase_since = now;
+        task.begun_ms = 0;
         task.confirmed_ms = 0;
         task.start_unconfirmed = false;
         task.start_unanswered = false;
--- a/sapphirewalk_core/src/coordinator/poll.rs
+++ b/sapphirewalk_core/src/coordinator/poll.rs
@@ -277,17 +277,18 @@
         let Some(run) = self.jobs.run_name(slot) else {
             return;
         };
-        let (phase, worker) = self
-            .jobs
-            .task(slot)
-            .map_or((TaskPhase::Waiting, None), |task| (task.phase, task.worker));
-        let id = worker.map_or_else(String::new, |worker| {
-            self.workers.get(worker).listing.id.clone()
+        let Some(task) = self.jobs.task(slot) else {
+            return;
+        };
+        let (phase, alive) = (task.phase, task.alive_for());
+        let (id, beside) = task.worker.map_or((String::new(), 0), |worker| {
+            let entry = self.workers.get(worker);
+            (entry.listing.id.clone(), self.others_on_trial(worker, slot))
         });
         self.log(
             "run_lost",
             Some(run.task.job),
-            format!("run={run} worker={id} was={phase:?} cause={cause}"),
+            format!("run={run} worker={id} was={phase:?} cause={cause} alive={alive} new_beside={beside}"),
         );
         self.requeue_task(slot, now, TimeSpan::ZERO);
         self.mark_dirty(slot.job);
@@ -505,8 +506,7 @@
             } else {
                 task.progress.report(clock_ms, listed.percent);
             }
-            task.start_unconfirmed = false;
-            task.confirmed_ms = task.confirmed_ms.max(clock_ms);
+            task.confirm_run(clock_ms);
             if !listed.checkpoint.is_empty() && task.checkpoint != listed.checkpoint {
                 task.checkpoint.clone_from(&listed.checkpoint);
             }
--- a/sapphirewalk_core/src/job_registry.rs
+++ b/sapphirewalk_core/src/job_registry.rs
@@ -99,6 +99,8 @@
     pub worker: Option<WorkerSlot>,
     /// When the task entered its phase.
     pub phase_since: TimePoint,
+    /// Worker clock in ms of the first answer that confirmed the run; 0 before it.
+    pub begun_ms: u64,
     /// Worker clock in ms of the last answer that confirmed the run; 0 before the first.
     pub confirmed_ms: u64,
     /// Earliest time of the next run.
@@ -243,6 +245,25 @@
     }
 }
 
+impl TaskEntry {
+    /// For how long answers of the worker have confirmed the present run.
+    pub const fn alive_for(&self) -> TimeSpan {
+        if self.begun_ms == 0 {
+            return TimeSpan::ZERO;
+        }
+        TimeSpan::from_millis(self.confirmed_ms.saturating_sub(self.begun_ms))
+    }
+
+    /// Records an answer of the worker that confirms the present run, by the worker's clock in ms.
+    pub fn confirm_run(&mut self, clock_ms: u64) {
+        self.start_unconfirmed = false;
+        if self.begun_ms == 0 {
+            self.begun_ms = clock_ms.max(1);
+        }
+        self.confirmed_ms = self.confirmed_ms.max(clock_ms);
+    }
+}
+
 impl OccurrenceEntry {
     fn new(number: u32, due_at: TimePoint, spec: &JobSpec) -> Self {
         Self {
