Reproduce tasks that crash their workers in the model, as known reds

The model's tasks can crash the worker that starts them; it reports the third start after three crashes.

--- a/sapphirewalk_core/tests/coordinator/main.rs
+++ b/sapphirewalk_core/tests/coordinator/main.rs
@@ -2,6 +2,7 @@
 
 #![allow(missing_docs)]
 
+mod crashes;
 mod faults;
 mod job_lifecycle;
 mod load;
--- a/sapphirewalk_core/tests/coordinator/simulation.rs
+++ b/sapphirewalk_core/tests/coordinator/simulation.rs
@@ -51,6 +51,22 @@
 /// Time from a stop order to the end of the run.
 const STOP_DELAY_MS: u64 = 300;
 
+/// Time from the crash of a worker by a task to its restart.
+const KILLED_FOR_MS: u64 = 3_200;
+
+/// A task that crashes each worker that starts it.
+#[derive(Clone, Debug)]
+pub struct KillerTask {
+    /// Job of the task.
+    pub job: u64,
+    /// Step of the task.
+    pub step: u16,
+    /// Index of the task within its step.
+    pub index: u16,
+    /// Time from its start to the crash, in milliseconds.
+    pub after_ms: u64,
+}
+
 /// The faults of one simulation. Shares are from 0 to 1, times are milliseconds after the start.
 #[derive(Clone, Debug, Default)]
 pub struct FaultPlan {
@@ -76,6 +92,8 @@
     pub failing_runs: f64,
     /// Jobs whose tasks take a multiple of their estimate: job, factor.
     pub wrong_estimates: Vec<(u64, f64)>,
+    /// Tasks that crash their workers.
+    pub killer_tasks: Vec<KillerTask>,
 }
 
 /// Description of a violated invariant.
@@ -144,6 +162,8 @@
     Cancel(JobId),
     Takeover,
     Crash(usize),
+    /// A run crashes its worker, if it still exists there.
+    Kill(usize, RunName),
     Restart(usize),
     ListWorkers,
     Tick,
@@ -216,6 +236,10 @@
     acked_runs: collections::BTreeSet<RunName>,
     /// Runs that were done and whose task was started again. Such a run must not be acknowledged.
     restarted_runs: collections::BTreeSet<RunName>,
+    /// Number of workers that each task has crashed.
+    pub crash_counts: collections::BTreeMap<TaskName, u32>,
+    /// Number of starts of each task after it had crashed three workers.
+    late_starts: collections::BTreeMap<TaskName, u32>,
     /// Number of starts by task.
     pub starts: collections::BTreeMap<TaskName, u32>,
     /// Time from submission to completion by job, in milliseconds.
@@ -297,6 +321,8 @@
             failure_counts: collections::BTreeMap::new(),
             acked_runs: collections::BTreeSet::new(),
             restarted_runs: collections::BTreeSet::new(),
+            crash_counts: collections::BTreeMap::new(),
+            late_starts: collections::BTreeMap::new(),
             starts: collections::BTreeMap::new(),
             completed: collections::BTreeMap::new(),
             violations: Vec::new(),
@@ -448,6 +474,7 @@
                 }
             }
             Action::Crash(worker) => self.crash(worker),
+            Action::Kill(worker, run) => self.kill(worker, run),
             Action::Restart(number) => {
                 let born = self.now_ms;
                 let worker = &mut self.workers[number];
@@ -972,6 +999,7 @@
             total_work_ms: work_ms,
         });
         self.check_start(number, run, spec);
+        self.check_killer(number, run);
         OrderAnswer::Accepted { clock_ms }
     }
 
@@ -1021,6 +1049,44 @@
         }
     }
 
+    fn kill(&mut self, number: usize, run: RunName) {
+        let runs = &self.workers[number].runs;
+        if !runs.iter().any(|known| known.name == run) {
+            return;
+        }
+        *self.crash_counts.entry(run.task).or_default() += 1;
+        self.crash(number);
+        let at = self.now_ms + KILLED_FOR_MS;
+        self.schedule(at, Action::Restart(number));
+    }
+
+    /// Schedules the crash that a run causes, and counts its start if its task has already crashed
+    /// three workers.
+    fn check_killer(&mut self, number: usize, run: RunName) {
+        let task = run.task;
+        let killer = self.plan.killer_tasks.iter().find(|killer| {
+            (JobId(killer.job), killer.step, killer.index) == (task.job, task.step, task.index)
+        });
+        let Some(killer) = killer else {
+            return;
+        };
+        let at = self.now_ms + killer.after_ms;
+        self.schedule(at, Action::Kill(number, run));
+        if self
+            .crash_counts
+            .get(&task)
+            .is_some_and(|count| *count >= 3)
+        {
+            let starts = self.late_starts.entry(task).or_default();
+            *starts += 1;
+            if *starts >= 3 {
+                self.violations.push(format!(
+                    "{run} starts for the third time after its task has crashed three workers"
+                ));
+            }
+        }
+    }
+
     fn crash(&mut self, number: usize) {
         // Unacknowledged ends are lost with the worker, so their tasks may run again.
         let worker = &mut self.workers[number];
