Give up tasks that crash the workers that start them

Cause: a run that is lost with its worker was requeued without any count. Only ends `failed` that a worker lists counted, and a crashed worker lists nothing.

Change: crash_history keeps, for each task, the crashes in a row and how many of them only it can have caused, and gives it up after three crashes of which two are blamed on it, or after five. So suspects are kept apart, a likely cause starts where nothing else is new and nothing else may start meanwhile, and a crash is blamed on nobody when many workers are lost at once. The history is part of the job's progress row, together with the incarnation of the worker, so that a successor counts a crash that its predecessor did not see; rows of the former version are read. A lost run on a silent worker that is still listed, or on one that was leaving, doesn't count.

Ruled out: a count without attribution (above); an empty worker for each suspect (there is none while services hold the room); giving up after two crashes (two bursts of crashes five seconds apart would fail others' work).

--- a/sapphirewalk/src/entry/records.rs
+++ b/sapphirewalk/src/entry/records.rs
@@ -10,6 +10,7 @@
 use sapphirewalk_core::job_registry::JobProgress;
 use sapphirewalk_core::job_spec::JobId;
 use sapphirewalk_core::job_spec::JobSpec;
+use sapphirewalk_core::progress_row;
 use sapphirewalk_core::time::TimePoint;
 use sapphirewalk_platform::store::RowChange;
 use sapphirewalk_platform::store::RowLocation;
@@ -40,7 +41,7 @@
 const JOB_PARTITIONS: u64 = 16;
 /// Key suffix of a cancellation row. It sorts after the key of the job's own row.
 const CANCEL_SUFFIX: &str = "-cancelled";
-/// Version of the value encoding that this program writes and reads.
+/// Version of the value encoding that this program writes and reads, except for progress.
 const LAYOUT_VERSION: u8 = 1;
 /// Timeout for reading one page of a partition. The store answers in 4 ms, or up to 60 times as
 /// slowly.
@@ -196,9 +197,10 @@
     };
     if let Some(batch) = batch {
         for progress in &batch.rows {
-            change
-                .written
-                .push((progress_location(progress.id), encode(progress)));
+            change.written.push((
+                progress_location(progress.id),
+                progress_row::encode(progress),
+            ));
         }
         if let Some(learned) = &batch.learned {
             change.written.push((learned_location(), encode(learned)));
@@ -259,7 +261,7 @@
     timeout: time::Duration,
 ) -> Result<Option<JobProgress>, StoreError> {
     let row = store.read_row(&progress_location(id), timeout).await?;
-    Ok(row.and_then(|row| decode(&row.value)))
+    Ok(row.and_then(|row| progress_row::decode(&row.value)))
 }
 
 /// Reads all records about jobs. Rows that can't be decoded are listed by key.
@@ -292,7 +294,7 @@
         .read_partition(PROGRESS_TABLE, LEADER_PARTITION, PART_READ_TIMEOUT)
         .await?;
     for row in &page.rows {
-        match decode(&row.value) {
+        match progress_row::decode(&row.value) {
             Some(progress) => set.records.progress.push(progress),
             None => set.unreadable.push(row.key.clone()),
         }
--- a/sapphirewalk_core/src/coordinator/commands.rs
+++ b/sapphirewalk_core/src/coordinator/commands.rs
@@ -55,19 +55,27 @@
             return;
         };
         let job_ended = self.has_job_ended(slot.job);
+        let born_ms = self.workers.get(worker).born_ms;
         let Some(task) = self.jobs.task_mut(slot) else {
             return;
         };
         if task.phase != TaskPhase::Starting {
             return;
         }
+        let restarted = task.worker_born_ms != born_ms;
         let unsure = task.start_unconfirmed;
         match answer {
             OrderAnswer::Accepted { clock_ms } => {
+                let entry = self.workers.get_mut(worker);
+                entry.alive_ms = entry.alive_ms.max(clock_ms);
                 task.phase = TaskPhase::Running;
                 task.phase_since = now;
                 task.progress = RunProgress::begin(clock_ms, 0);
                 task.confirm_run(clock_ms);
+                task.worker_born_ms = born_ms;
+                if restarted {
+                    self.mark_dirty(slot.job);
+                }
                 if job_ended {
                     self.order_stop(slot, "job_over");
                 }
@@ -84,6 +92,10 @@
             OrderAnswer::Missing => {
                 task.start_unconfirmed = true;
                 task.start_unanswered = true;
+                if restarted {
+                    self.revoke_starts(&[slot], born_ms, now);
+                    return;
+                }
                 self.quarantine(worker, MISSING_QUARANTINE, "start_missing", now);
                 self.schedule_resend(worker, run, ResendKind::Start, now);
                 return;
@@ -203,13 +215,12 @@
                 continue;
             };
             let job_ended = self.has_job_ended(slot.job);
-            let starting = self
-                .jobs
-                .task(slot)
-                .is_some_and(|task| task.phase == TaskPhase::Starting);
+            let Some(task) = self.jobs.task(slot) else {
+                continue;
+            };
             if entry.kind == ResendKind::Stop || job_ended {
                 self.order_stop(slot, "again");
-            } else if starting {
+            } else if task.phase == TaskPhase::Starting {
                 self.send_start(slot, now);
             }
         }
--- a/sapphirewalk_core/src/coordinator/mod.rs
+++ b/sapphirewalk_core/src/coordinator/mod.rs
@@ -187,6 +187,7 @@
                 self.evacuate(slot);
             }
         }
+        self.record_unlisted(now);
         self.place_due = true;
     }
 
--- a/sapphirewalk_core/src/coordinator/place.rs
+++ b/sapphirewalk_core/src/coordinator/place.rs
@@ -2,6 +2,7 @@
 
 use crate::coordinator::JobCoordinator;
 use crate::coordinator::commit;
+use crate::coordinator::crash::TrialChoice;
 use crate::coordinator::pace;
 use crate::coordinator::pace::BestEffortScore;
 use crate::coordinator::poll;
@@ -54,10 +55,18 @@
 
 /// A worker with room for a task of the step.
 #[derive(Clone, Copy, Debug)]
-struct PlaceCandidate {
-    worker: WorkerSlot,
+pub(super) struct PlaceCandidate {
+    pub(super) worker: WorkerSlot,
     /// Suitability; higher is better.
-    score: f64,
+    pub(super) score: f64,
+}
+
+/// What became of the waiting tasks of one step.
+#[derive(Debug, Default)]
+struct SpreadTasks {
+    placed: Vec<(TaskSlot, WorkerSlot)>,
+    /// Number of tasks that wait for a worker on which a trial is possible.
+    postponed: usize,
 }
 
 /// Results that one round caches, so that later steps reuse them.
@@ -215,9 +224,10 @@
             limit = 1;
         }
         let wanted = ready.len();
-        let placed = self.spread_tasks(&request, ready, limit, &mut candidates, now);
-        if may_preempt && placed.len() < wanted {
-            let missing = wanted - placed.len();
+        let SpreadTasks { placed, postponed } =
+            self.spread_tasks(&request, ready, limit, &mut candidates, now);
+        if may_preempt && placed.len() + postponed < wanted {
+            let missing = wanted - placed.len() - postponed;
             let priority = waiting.rank.priority;
             self.preempt(&request, priority, missing, &mut round.preemption, now);
         }
@@ -241,8 +251,9 @@
         }
     }
 
-    /// Assigns tasks of a step one by one to the best candidate. Candidates that can't take another
-    /// task are removed from `candidates`.
+    /// Assigns tasks of a step one by one to the best candidate; tasks on trial get one where
+    /// nothing else has just started. Candidates that can't take another task are removed from
+    /// `candidates`.
     fn spread_tasks(
         &mut self,
         request: &PlaceRequest<'_>,
@@ -250,17 +261,31 @@
         limit: usize,
         candidates: &mut Vec<PlaceCandidate>,
         now: TimePoint,
-    ) -> Vec<(TaskSlot, WorkerSlot)> {
-        let mut placed = Vec::with_capacity(ready.len());
+    ) -> SpreadTasks {
+        let mut spread = SpreadTasks::default();
         for slot in ready.into_iter().take(limit) {
-            let avoid = self.jobs.task(slot).and_then(|task| task.avoided_worker);
-            let Some(best) = best_candidate(candidates, avoid) else {
+            let choice = match self.choose_trial(slot, candidates, now) {
+                TrialChoice::Unneeded => {
+                    let avoid = self.jobs.task(slot).and_then(|task| task.avoided_worker);
+                    best_candidate(candidates, avoid)
+                }
+                TrialChoice::Apart(index) => Some(index),
+                TrialChoice::Trial(index) => {
+                    self.workers.get_mut(candidates[index].worker).trial = Some(slot);
+                    Some(index)
+                }
+                TrialChoice::Postpone => {
+                    spread.postponed += 1;
+                    continue;
+                }
+            };
+            let Some(best) = choice else {
                 break;
             };
             let worker = candidates[best].worker;
             self.workers
                 .add_task(worker, slot, request.step, request.image);
-            placed.push((slot, worker));
+            spread.placed.push((slot, worker));
             match self.candidate_score(worker, request, false, now) {
                 Some(score) => candidates[best].score = score,
                 None => {
@@ -268,7 +293,7 @@
                 }
             }
         }
-        placed
+        spread
     }
 
     /// The tasks of a step that are waiting and whose delay has passed.
@@ -308,6 +333,7 @@
         task.attempt = gang_attempt.unwrap_or(task.attempt) + 1;
         task.phase = TaskPhase::Recording;
         task.worker = Some(worker);
+        task.worker_born_ms = self.workers.get(worker).born_ms;
         task.phase_since = now;
         task.begun_ms = 0;
         task.confirmed_ms = 0;
@@ -366,7 +392,10 @@
     ) -> bool {
         let PlaceRequest { step, first, .. } = *request;
         let entry = self.workers.get(worker);
-        if !entry.is_usable(now, poll::SILENCE_LIMIT) || self.workers.pool(worker) != request.pool {
+        if entry.trial.is_some()
+            || !entry.is_usable(now, poll::SILENCE_LIMIT)
+            || self.workers.pool(worker) != request.pool
+        {
             return false;
         }
         let label = step.required_label.as_ref();
--- a/sapphirewalk_core/src/coordinator/poll.rs
+++ b/sapphirewalk_core/src/coordinator/poll.rs
@@ -6,7 +6,9 @@
 use crate::coordinator::ListedRun;
 use crate::coordinator::PollAnswer;
 use crate::coordinator::RunEnd;
+use crate::coordinator::crash::LossCause;
 use crate::coordinator::preempt;
+use crate::job_registry::JobSlot;
 use crate::job_registry::JobState;
 use crate::job_registry::TaskPhase;
 use crate::job_registry::TaskSlot;
@@ -122,8 +124,9 @@
                     self.on_replaced(worker, now);
                 }
                 self.schedule_poll(worker, now + POLL_RETRY);
-                let entry = self.workers.get(worker);
-                if entry.failed_polls == 1 {
+                if self.workers.get(worker).failed_polls == 1 {
+                    self.record_loss(worker, now);
+                    let entry = self.workers.get(worker);
                     let id = entry.listing.id.clone();
                     let age = now.since(entry.answered_at);
                     let tasks = entry.tasks.len();
@@ -147,11 +150,16 @@
     ) {
         let entry = self.workers.get_mut(worker);
         let was_lost = entry.failed_polls > 0;
+        let restarted = entry.born_ms != born_ms && entry.born_ms != 0;
+        if restarted && !was_lost {
+            self.record_loss(worker, now);
+        }
+        let entry = self.workers.get_mut(worker);
         entry.failed_polls = 0;
         entry.replaced_since = None;
         entry.answered_at = now;
         let other_incarnation = entry.born_ms != born_ms;
-        if other_incarnation && entry.born_ms != 0 {
+        if restarted {
             let listed = running.iter().map(|listed| listed.run);
             let listed: Vec<RunName> = listed.chain(ended.iter().map(|end| end.run)).collect();
             self.on_new_incarnation(worker, born_ms, &listed, now);
@@ -162,6 +170,7 @@
             entry.handled_end = 0;
             entry.acked_end = 0;
             entry.clock = None;
+            entry.alive_ms = 0;
             // Starts in flight may still reach the new incarnation, so their deadlines count as
             // leases on its clock.
             let starts = entry.tasks.iter().filter_map(|slot| self.jobs.task(*slot));
@@ -174,6 +183,10 @@
         if entry.clock.is_none_or(|known| known.worker_ms <= clock_ms) {
             entry.clock = Some(reading);
         }
+        entry.alive_ms = entry.alive_ms.max(clock_ms);
+        if was_lost && !other_incarnation {
+            entry.loss = None;
+        }
         let newly_adopted = !entry.fence_confirmed;
         entry.fence_confirmed = true;
         self.schedule_poll(worker, now + self.leader_lag.poll_delay());
@@ -217,6 +230,7 @@
             entry.tasks.len()
         );
         self.log("worker_reborn", None, detail);
+        let (mut revoked, mut lost) = (Vec::new(), Vec::new());
         for slot in self.workers.get(worker).tasks.clone() {
             if self
                 .jobs
@@ -225,21 +239,23 @@
             {
                 continue;
             }
-            let Some(task) = self.jobs.task_mut(slot) else {
+            let Some(task) = self.jobs.task(slot) else {
                 continue;
             };
             match task.phase {
-                // The new incarnation may still receive this start and will answer it.
-                TaskPhase::Starting | TaskPhase::Recording => {}
+                // The start is answered, or counts as unanswered, later.
+                TaskPhase::Starting if !task.start_unanswered => {}
+                TaskPhase::Recording => {}
                 // A late copy of the start may still reach the new incarnation, so the run is
                 // stopped there first.
-                TaskPhase::Running if task.start_unanswered => {
-                    task.start_unconfirmed = true;
-                    self.order_stop(slot, "reborn");
+                TaskPhase::Starting | TaskPhase::Running if task.start_unanswered => {
+                    revoked.push(slot);
                 }
-                _ => self.lose_run(slot, "reborn", now),
+                _ => lost.push(slot),
             }
         }
+        self.revoke_starts(&revoked, born_ms, now);
+        self.lose_runs(worker, &lost, LossCause::Reborn, now);
         let entry = self.workers.get_mut(worker);
         entry.former_leases_until = TimePoint::EPOCH;
         entry.ended_incarnations += 1;
@@ -256,42 +272,7 @@
         }
         entry.former_leases_until = TimePoint::EPOCH;
         entry.lease_end_ms = 0;
-        self.lose_tasks(worker, "replaced", now);
-    }
-
-    /// Makes the tasks on a worker wait for another run, except those whose start was never sent.
-    fn lose_tasks(&mut self, worker: WorkerSlot, cause: &'static str, now: TimePoint) {
-        for slot in self.workers.get(worker).tasks.clone() {
-            let Some(task) = self.jobs.task(slot) else {
-                continue;
-            };
-            if task.phase == TaskPhase::Recording {
-                continue;
-            }
-            self.lose_run(slot, cause, now);
-        }
-    }
-
-    /// Records that a run no longer exists, although no end was reported, and requeues its task.
-    fn lose_run(&mut self, slot: TaskSlot, cause: &'static str, now: TimePoint) {
-        let Some(run) = self.jobs.run_name(slot) else {
-            return;
-        };
-        let Some(task) = self.jobs.task(slot) else {
-            return;
-        };
-        let (phase, alive) = (task.phase, task.alive_for());
-        let (id, beside) = task.worker.map_or((String::new(), 0), |worker| {
-            let entry = self.workers.get(worker);
-            (entry.listing.id.clone(), self.others_on_trial(worker, slot))
-        });
-        self.log(
-            "run_lost",
-            Some(run.task.job),
-            format!("run={run} worker={id} was={phase:?} cause={cause} alive={alive} new_beside={beside}"),
-        );
-        self.requeue_task(slot, now, TimeSpan::ZERO);
-        self.mark_dirty(slot.job);
+        self.lose_tasks(worker, LossCause::Replaced, now);
     }
 
     /// Handles an end that a worker lists. Ends of runs that are not current are only logged.
@@ -442,26 +423,27 @@
             return;
         };
         let limit = self.queue_rule(job).max_attempts.max(1);
-        let id = job.id;
         let Some(task) = self.jobs.task_mut(slot) else {
             return;
         };
         task.failures += 1;
         task.avoided_worker = Some(worker);
         let failures = task.failures;
-        let job_ended = self
-            .jobs
-            .get(slot.job)
-            .is_some_and(|job| job.state.is_final());
-        if !service && failures >= limit && !job_ended {
-            self.end_job(slot.job, JobState::Failed, now);
-            self.log(
-                "job_failed",
-                Some(id),
-                format!("failures={failures} limit={limit}"),
-            );
-            self.clear_ended_job(slot.job);
+        if !service && failures >= limit {
+            let detail = format!("cause=failures failures={failures} limit={limit}");
+            self.fail_job(slot.job, detail, now);
+        }
+    }
+
+    /// Ends a job as failed, unless it has ended already.
+    pub(super) fn fail_job(&mut self, slot: JobSlot, detail: String, now: TimePoint) {
+        if self.has_job_ended(slot) {
+            return;
         }
+        let id = self.jobs.get(slot).map(|job| job.id);
+        self.end_job(slot, JobState::Failed, now);
+        self.log("job_failed", id, detail);
+        self.clear_ended_job(slot);
     }
 
     /// Compares the runs that a worker lists with the tasks placed there. Unwanted runs are
@@ -507,6 +489,7 @@
                 task.progress.report(clock_ms, listed.percent);
             }
             task.confirm_run(clock_ms);
+            let cleared = task.record_alive();
             if !listed.checkpoint.is_empty() && task.checkpoint != listed.checkpoint {
                 task.checkpoint.clone_from(&listed.checkpoint);
             }
@@ -516,8 +499,13 @@
             if newly_running {
                 self.mark_job_running(slot);
             }
+            if cleared {
+                self.mark_dirty(slot.job);
+            }
         }
+        self.end_trial(worker);
         self.workers.get_mut(worker).gauges = gauges;
+        let mut unlisted = Vec::new();
         for slot in self.workers.get(worker).tasks.clone() {
             let Some(run) = self.jobs.run_name(slot) else {
                 continue;
@@ -538,9 +526,10 @@
                 | TaskPhase::Done => false,
             };
             if lost {
-                self.lose_run(slot, "not_listed", now);
+                unlisted.push(slot);
             }
         }
+        self.lose_runs(worker, &unlisted, LossCause::NotListed, now);
     }
 
     /// Gives a worker no new tasks for at least this span.
@@ -573,7 +562,7 @@
         for slot in self.workers.slots() {
             let entry = self.workers.get(slot);
             if !entry.tasks.is_empty() && entry.leases_expired_at() <= now {
-                self.lose_tasks(slot, "lease_over", now);
+                self.lose_tasks(slot, LossCause::LeaseOver, now);
             }
         }
     }
--- a/sapphirewalk_core/src/coordinator/recover.rs
+++ b/sapphirewalk_core/src/coordinator/recover.rs
@@ -4,6 +4,7 @@
 use crate::coordinator::SilentWorker;
 use crate::coordinator::commit;
 use crate::coordinator::poll;
+use crate::crash_history::CrashHistory;
 use crate::image_interference::LearnedImage;
 use crate::job_registry::JobProgress;
 use crate::job_registry::JobRecord;
@@ -91,6 +92,10 @@
                 if let (Some(step), Some(image)) = (self.jobs.step(task), self.jobs.image(task)) {
                     self.workers.add_task(worker, task, step, image);
                 }
+                let history = self.jobs.task(task).map(|task| task.crash_history);
+                if history.is_some_and(CrashHistory::needs_trial) {
+                    self.workers.get_mut(worker).trial = Some(task);
+                }
             }
         }
         for id in cancelled {
--- a/sapphirewalk_core/src/job_registry.rs
+++ b/sapphirewalk_core/src/job_registry.rs
@@ -6,6 +6,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::crash_history::CrashHistory;
 use crate::image_interference::ImageKey;
 use crate::job_spec::JobId;
 use crate::job_spec::JobSpec;
@@ -60,7 +61,7 @@
     Running,
     /// Every task of every occurrence is done.
     Completed,
-    /// A task used up the failed runs that its queue allows.
+    /// A task used up the failed runs that its queue allows, or crashes the workers that start it.
     Failed,
     /// The caller cancelled the job.
     Cancelled,
@@ -93,10 +94,15 @@
     pub attempt: u32,
     /// Number of failed runs; unless the task is a service, the queue's `max_attempts` limits it.
     pub failures: u32,
+    /// Crashes of workers under the last runs.
+    pub crash_history: CrashHistory,
     /// Checkpoint from which the next run resumes; empty to run from the start.
     pub checkpoint: String,
     /// Worker of the present run; none while no run is placed.
     pub worker: Option<WorkerSlot>,
+    /// Start of the worker's incarnation that the present run was placed on, in Unix ms; 0 if it
+    /// wasn't known.
+    pub worker_born_ms: u64,
     /// When the task entered its phase.
     pub phase_since: TimePoint,
     /// Worker clock in ms of the first answer that confirmed the run; 0 before it.
@@ -202,12 +208,22 @@
     pub next_occurrence: u32,
     /// Occurrences in progress: number and due time.
     pub occurrences: Vec<(u32, TimePoint)>,
-    /// Identifiers of the workers that tasks refer to by index.
-    pub workers: Vec<String>,
+    /// The workers that tasks refer to by index.
+    pub workers: Vec<WorkerIncarnation>,
     /// Tasks with at least one recorded run; all others are waiting.
     pub tasks: Vec<TaskProgress>,
 }
 
+/// A worker and its incarnation.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
+pub struct WorkerIncarnation {
+    /// Identifier in the platform's list.
+    pub id: String,
+    /// Start of the incarnation in Unix ms; 0 if it isn't known.
+    pub born_ms: u64,
+}
+
 /// Progress of a task, as stored for the next coordinator.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 #[derive(Deserialize, Serialize)]
@@ -220,6 +236,8 @@
     pub attempt: u32,
     /// Number of failed runs.
     pub failures: u32,
+    /// Crashes of workers under the last runs.
+    pub crash_history: CrashHistory,
     /// Worker on which the last run may exist, as an index into `workers` of the job.
     pub worker: Option<u32>,
     /// The task is done and has no further runs.
@@ -262,6 +280,13 @@
         }
         self.confirmed_ms = self.confirmed_ms.max(clock_ms);
     }
+
+    /// Clears the task of earlier crashes if the present run has been alive for long enough.
+    /// Returns whether there were any.
+    pub fn record_alive(&mut self) -> bool {
+        let alive = self.alive_for();
+        self.crash_history.record_alive(alive)
+    }
 }
 
 impl OccurrenceEntry {
@@ -410,7 +435,7 @@
         if self.state.is_final() {
             return progress;
         }
-        let mut slots: Vec<WorkerSlot> = Vec::new();
+        let mut slots: Vec<(WorkerSlot, u64)> = Vec::new();
         for occurrence in &self.occurrences {
             progress
                 .occurrences
@@ -420,9 +445,10 @@
                     continue;
                 }
                 let worker = task.worker.filter(|_| task.phase.is_placed()).map(|slot| {
-                    let index = slots.iter().position(|known| *known == slot);
+                    let incarnation = (slot, task.worker_born_ms);
+                    let index = slots.iter().position(|known| *known == incarnation);
                     let index = index.unwrap_or_else(|| {
-                        slots.push(slot);
+                        slots.push(incarnation);
                         slots.len() - 1
                     });
                     u32::try_from(index).unwrap_or(u32::MAX)
@@ -432,6 +458,7 @@
                     task: number,
                     attempt: task.attempt,
                     failures: task.failures,
+                    crash_history: task.crash_history,
                     worker,
                     done: task.phase == TaskPhase::Done,
                     checkpoint: if task.phase == TaskPhase::Done {
@@ -442,7 +469,11 @@
                 });
             }
         }
-        progress.workers = slots.into_iter().map(worker_id).collect();
+        let incarnations = slots.into_iter().map(|(slot, born_ms)| WorkerIncarnation {
+            id: worker_id(slot),
+            born_ms,
+        });
+        progress.workers = incarnations.collect();
         progress
     }
 
@@ -461,10 +492,10 @@
             .iter()
             .map(|(number, due_at)| OccurrenceEntry::new(*number, *due_at, &self.spec))
             .collect();
-        let workers: Vec<WorkerSlot> = progress
+        let workers: Vec<(WorkerSlot, u64)> = progress
             .workers
             .iter()
-            .map(|id| intern_worker(id))
+            .map(|worker| (intern_worker(&worker.id), worker.born_ms))
             .collect();
         let mut placed = Vec::new();
         for saved in &progress.tasks {
@@ -477,6 +508,7 @@
             };
             task.attempt = saved.attempt;
             task.failures = saved.failures;
+            task.crash_history = saved.crash_history;
             task.checkpoint.clone_from(&saved.checkpoint);
             if saved.done {
                 task.phase = TaskPhase::Done;
@@ -485,9 +517,10 @@
                 continue;
             }
             let worker = saved.worker.and_then(|index| workers.get(index as usize));
-            if let Some(worker) = worker {
+            if let Some((worker, born_ms)) = worker {
                 task.phase = TaskPhase::Unverified;
                 task.worker = Some(*worker);
+                task.worker_born_ms = *born_ms;
                 placed.push((saved.occurrence, saved.task, *worker));
             }
         }
--- a/sapphirewalk_core/src/lib.rs
+++ b/sapphirewalk_core/src/lib.rs
@@ -13,9 +13,10 @@
 //!   [`share_ledger`], [`size_estimate`], [`task_failure`], [`task_queue`] and [`worker_pool`]; the
 //!   protocols [`quota_share`], [`shard_lease`], [`task_lifecycle`] and [`worker_lease`];
 //!   [`urgency`] and [`write_pace`].
-//! - Jobs, under the single leader of a deployment: [`coordinator`], [`demand_summary`],
-//!   [`election_delay`], [`image_interference`], [`job_order`], [`job_registry`], [`job_spec`],
-//!   [`load_trend`], [`work_rule`] and [`worker_registry`].
+//! - Jobs, under the single leader of a deployment: [`coordinator`], [`crash_history`],
+//!   [`demand_summary`], [`election_delay`], [`image_interference`], [`job_order`],
+//!   [`job_registry`], [`job_spec`], [`load_trend`], [`progress_row`], [`work_rule`] and
+//!   [`worker_registry`].
 //!
 //! All use [`time`]; [`key`] and [`resource`] are shared by two each, and [`rollout_order`] belongs
 //! to none. The schedulers differ in terms: a run of the job coordinator corresponds to an attempt
@@ -27,6 +28,7 @@
 pub mod batch_policy;
 pub mod concurrency_limit;
 pub mod coordinator;
+pub mod crash_history;
 pub mod deadline;
 pub mod demand_summary;
 pub mod election_delay;
@@ -46,6 +48,7 @@
 pub mod load_trend;
 pub mod peer_choice;
 pub mod placement;
+pub mod progress_row;
 pub mod quarantine;
 pub mod quota_share;
 pub mod request_outcome;
--- a/sapphirewalk_core/src/worker_registry.rs
+++ b/sapphirewalk_core/src/worker_registry.rs
@@ -71,6 +71,15 @@
     pub value: f64,
 }
 
+/// When a worker stopped answering.
+#[derive(Clone, Copy, Debug)]
+pub struct WorkerLoss {
+    /// When the first poll without a valid answer ended.
+    pub at: TimePoint,
+    /// A task that has crashed a worker before may have crashed this one.
+    pub has_suspect: bool,
+}
+
 /// Scheduling state of one worker.
 #[derive(Clone, Debug)]
 pub struct WorkerEntry {
@@ -84,6 +93,8 @@
     pub ended_incarnations: u64,
     /// The worker answered a poll that carried this coordinator's fencing token.
     pub fence_confirmed: bool,
+    /// Highest clock reading in any answer of the present incarnation, in ms on the worker's clock.
+    pub alive_ms: u64,
     /// The last reading of the worker's clock; none before an answer of the present incarnation.
     pub clock: Option<ClockReading>,
     /// Latest lease deadline sent by this coordinator, in ms on the worker's clock.
@@ -92,6 +103,8 @@
     pub former_leases_until: TimePoint,
     /// Tasks placed on the worker; sorted.
     pub tasks: Vec<TaskSlot>,
+    /// A task that may crash the worker. Nothing else starts here while its run is new.
+    pub trial: Option<TaskSlot>,
     /// Sum of the resources reserved for `tasks`.
     pub used: ResourceVector,
     /// Demands of `tasks`, summed by kind and image.
@@ -109,6 +122,8 @@
     pub answered_at: TimePoint,
     /// Number of polls without a valid answer since the last valid one.
     pub failed_polls: u32,
+    /// The last time that the worker stopped answering; none before.
+    pub loss: Option<WorkerLoss>,
     /// Since when another worker answers at the address; none if none does.
     pub replaced_since: Option<TimePoint>,
     /// The stored list of silent workers contains the worker, or a pending write adds it. It gets
@@ -179,10 +194,12 @@
             born_ms: 0,
             ended_incarnations: 0,
             fence_confirmed: false,
+            alive_ms: 0,
             clock: None,
             lease_end_ms: 0,
             former_leases_until: TimePoint::EPOCH,
             tasks: Vec::new(),
+            trial: None,
             used: ResourceVector::ZERO,
             demands: DemandSummary::default(),
             handled_end: 0,
@@ -191,6 +208,7 @@
             next_poll: TimePoint::EPOCH,
             answered_at: TimePoint::EPOCH,
             failed_polls: 0,
+            loss: None,
             replaced_since: None,
             recorded_silent: false,
             quarantined_until: TimePoint::EPOCH,
@@ -280,6 +298,7 @@
     fn remove_task(&mut self, slot: TaskSlot, step: &StepSpec, image: ImageKey) {
         if let Ok(place) = self.tasks.binary_search(&slot) {
             self.tasks.remove(place);
+            self.trial = self.trial.filter(|trial| *trial != slot);
             self.used = self.used.saturating_sub(reserved_demand(step));
             self.demands.remove(step, image);
             self.gauges.retain(|gauge| gauge.slot != slot);
