Send a start without an answer again only once its worker has answered since

The start that had crashed a worker was sent again, with the same number, to the worker's next incarnation, which crashed as well; neither the run's number nor the history showed the second crash.

Cause: a start without an answer was resent each 150 ms, also while the worker didn't answer anything.

Change: it is resent only after the worker has answered a poll later than the start was sent; a new incarnation is noticed by that poll, and the start is revoked there. A start that is late, not lost, is listed by the same poll.

--- a/sapphirewalk_core/src/coordinator/commands.rs
+++ b/sapphirewalk_core/src/coordinator/commands.rs
@@ -221,7 +221,12 @@
             if entry.kind == ResendKind::Stop || job_ended {
                 self.order_stop(slot, "again");
             } else if task.phase == TaskPhase::Starting {
-                self.send_start(slot, now);
+                // The start may have crashed its worker, and would crash the next incarnation too.
+                if self.workers.get(entry.worker).answered_at > task.phase_since {
+                    self.send_start(slot, now);
+                } else {
+                    self.schedule_resend(entry.worker, entry.run, ResendKind::Start, now);
+                }
             }
         }
     }
--- a/sapphirewalk_core/tests/coordinator/crashes.rs
+++ b/sapphirewalk_core/tests/coordinator/crashes.rs
@@ -136,6 +136,18 @@
     }
 }
 
+#[test]
+fn a_start_that_crashed_its_worker_is_not_sent_to_the_next_incarnation() {
+    for seed in 700..720 {
+        let plan = FaultPlan {
+            lost_answers: 0.3,
+            ..killer_plan(3, 10, false)
+        };
+        let simulation = run_trial(seed, 3, plan);
+        assert_only_killers_failed(seed, 3, &simulation);
+    }
+}
+
 #[test]
 fn tasks_on_workers_that_crash_for_other_causes_are_not_given_up() {
     for seed in 600..620 {
--- a/sapphirewalk_core/tests/coordinator/simulation.rs
+++ b/sapphirewalk_core/tests/coordinator/simulation.rs
@@ -236,6 +236,8 @@
     acked_runs: collections::BTreeSet<RunName>,
     /// Runs that were done and whose task was started again. Such a run must not be acknowledged.
     restarted_runs: collections::BTreeSet<RunName>,
+    /// Runs that have crashed a worker.
+    crashing_runs: collections::BTreeSet<RunName>,
     /// Number of workers that each task has crashed.
     pub crash_counts: collections::BTreeMap<TaskName, u32>,
     /// Number of starts of each task after it had crashed three workers.
@@ -321,6 +323,7 @@
             failure_counts: collections::BTreeMap::new(),
             acked_runs: collections::BTreeSet::new(),
             restarted_runs: collections::BTreeSet::new(),
+            crashing_runs: collections::BTreeSet::new(),
             crash_counts: collections::BTreeMap::new(),
             late_starts: collections::BTreeMap::new(),
             starts: collections::BTreeMap::new(),
@@ -1055,6 +1058,7 @@
             return;
         }
         *self.crash_counts.entry(run.task).or_default() += 1;
+        self.crashing_runs.insert(run);
         self.crash(number);
         let at = self.now_ms + KILLED_FOR_MS;
         self.schedule(at, Action::Restart(number));
@@ -1072,6 +1076,10 @@
         };
         let at = self.now_ms + killer.after_ms;
         self.schedule(at, Action::Kill(number, run));
+        if self.crashing_runs.contains(&run) {
+            let violation = format!("{run} starts again after it has crashed a worker");
+            self.violations.push(violation);
+        }
         if self
             .crash_counts
             .get(&task)
