Count runs that are being stopped and belong to no task

After a takeover, runs of jobs that had just failed or been cancelled were still being stopped, and other tasks were started in their place, over the capacity of workers that don't guard it.

Cause: the row of an ended job has no tasks, so a successor knew their runs only from the workers' lists, where it stopped them as unwanted without counting what they hold.

Change: what such runs hold, by the steps of their jobs, counts as claimed until the worker lists them no longer.

--- a/sapphirewalk_core/src/coordinator/place.rs
+++ b/sapphirewalk_core/src/coordinator/place.rs
@@ -469,17 +469,17 @@
         free > STARVED_FREE_SHARE
     }
 
-    /// Share of a pool's resources that no task reserves, the scarcer of processor time and memory.
+    /// Share of a pool's resources that nothing claims, the scarcer of processor time and memory.
     fn pool_free_share(&self, pool: PoolKey) -> f64 {
         let mut capacity = ResourceVector::ZERO;
-        let mut used = ResourceVector::ZERO;
+        let mut free = ResourceVector::ZERO;
         for (worker, entry) in self.workers.iter() {
             if entry.listed && self.workers.pool(worker) == pool {
                 capacity = capacity + entry.listing.capacity;
-                used = used + entry.used;
+                free = free + entry.free();
             }
         }
-        scarcest_free_share(capacity.saturating_sub(used), capacity)
+        scarcest_free_share(free, capacity)
     }
 }
 
--- a/sapphirewalk_core/src/coordinator/poll.rs
+++ b/sapphirewalk_core/src/coordinator/poll.rs
@@ -13,10 +13,12 @@
 use crate::job_registry::TaskPhase;
 use crate::job_registry::TaskSlot;
 use crate::job_spec::RunName;
+use crate::resource::ResourceVector;
 use crate::run_progress;
 use crate::run_progress::RunProgress;
 use crate::time::TimePoint;
 use crate::time::TimeSpan;
+use crate::worker_registry;
 use crate::worker_registry::ClockReading;
 use crate::worker_registry::TaskGauge;
 use crate::worker_registry::WorkerSlot;
@@ -175,6 +177,7 @@
             entry.handled_end = 0;
             entry.acked_end = 0;
             entry.clock = None;
+            entry.unowned = ResourceVector::ZERO;
             entry.alive_ms = 0;
             // Starts in flight may still reach the new incarnation, so their deadlines count as
             // leases on its clock.
@@ -463,6 +466,7 @@
         let mut running_names: Vec<RunName> = running.iter().map(|listed| listed.run).collect();
         running_names.sort_unstable();
         let mut gauges = Vec::with_capacity(running.len());
+        let mut unowned = ResourceVector::ZERO;
         for listed in running {
             let slot = self.jobs.find_task(listed.run.task);
             let wanted = slot.filter(|slot| {
@@ -473,6 +477,7 @@
                 })
             });
             let Some(slot) = wanted else {
+                unowned = unowned + self.run_demand(listed.run);
                 self.stop_run(worker, listed.run, "not_wanted");
                 continue;
             };
@@ -508,6 +513,10 @@
                 self.mark_dirty(slot.job);
             }
         }
+        if self.workers.get(worker).unowned != unowned {
+            self.workers.set_unowned(worker, unowned);
+            self.place_due = true;
+        }
         self.end_trial(worker);
         self.workers.get_mut(worker).gauges = gauges;
         let mut unlisted = Vec::new();
@@ -537,6 +546,14 @@
         self.lose_runs(worker, &unlisted, LossCause::NotListed, now);
     }
 
+    /// The resources that a run reserves on its worker; none if its job is unknown.
+    fn run_demand(&self, run: RunName) -> ResourceVector {
+        let job = self.jobs.find(run.task.job);
+        let job = job.and_then(|slot| self.jobs.get(slot));
+        let step = job.and_then(|job| job.spec.steps.get(usize::from(run.task.step)));
+        step.map_or(ResourceVector::ZERO, worker_registry::reserved_demand)
+    }
+
     /// Gives a worker no new tasks for at least this span.
     pub(super) fn quarantine(
         &mut self,
--- a/sapphirewalk_core/src/worker_registry.rs
+++ b/sapphirewalk_core/src/worker_registry.rs
@@ -107,6 +107,9 @@
     pub trial: Option<TaskSlot>,
     /// Sum of the resources reserved for `tasks`.
     pub used: ResourceVector,
+    /// Resources of runs that the worker last listed and that belong to no task placed here: they
+    /// are being stopped, and keep their resources until then.
+    pub unowned: ResourceVector,
     /// Demands of `tasks`, summed by kind and image.
     pub demands: DemandSummary,
     /// Highest number of an ended run that the worker listed and this coordinator handled.
@@ -201,6 +204,7 @@
             tasks: Vec::new(),
             trial: None,
             used: ResourceVector::ZERO,
+            unowned: ResourceVector::ZERO,
             demands: DemandSummary::default(),
             handled_end: 0,
             acked_end: 0,
@@ -237,9 +241,19 @@
         own_leases.max(self.former_leases_until)
     }
 
-    /// Capacity that is not reserved.
+    /// Resources that tasks reserve, and those of runs that are being stopped.
+    pub fn claimed(&self) -> ResourceVector {
+        self.used + self.unowned
+    }
+
+    /// Capacity that is not claimed.
     pub fn free(&self) -> ResourceVector {
-        self.listing.capacity.saturating_sub(self.used)
+        self.listing.capacity.saturating_sub(self.claimed())
+    }
+
+    /// Whether more is claimed than the worker has, because its capacity has shrunk.
+    pub fn is_over_capacity(&self) -> bool {
+        !self.claimed().fits(self.listing.capacity)
     }
 
     /// Processor demand in thousandths of a core that best-effort tasks may still add.
@@ -430,6 +444,12 @@
         self.update_room(worker);
     }
 
+    /// Sets the resources of the runs on a worker that are being stopped and belong to no task.
+    pub fn set_unowned(&mut self, worker: WorkerSlot, unowned: ResourceVector) {
+        self.get_mut(worker).unowned = unowned;
+        self.update_room(worker);
+    }
+
     /// The workers that have room for a task, in order of their slots.
     pub fn with_room(&self, request: RoomRequest) -> impl Iterator<Item = WorkerSlot> {
         self.rooms
--- /dev/null
+++ b/sapphirewalk_core/tests/coordinator/capacity.rs
@@ -0,0 +1,105 @@
+//! Workers whose capacity shrinks and grows, and that don't guard it themselves.
+
+use sapphirewalk_core::job_registry::JobState;
+
+use crate::simulation;
+use crate::simulation::ClusterSimulation;
+use crate::simulation::FaultPlan;
+
+/// Plan in which the capacity of four of six workers shrinks to a quarter and grows again.
+fn shrinking_plan() -> FaultPlan {
+    let changes = (0..4).flat_map(|worker| {
+        let at = 3_000 + worker as u64 * 500;
+        [(worker, at, 0.25), (worker, at + 12_000, 1.0)]
+    });
+    FaultPlan {
+        capacity_changes: changes.collect(),
+        unguarded: true,
+        ..FaultPlan::default()
+    }
+}
+
+/// Runs jobs that fill six workers for 30 s.
+fn run_trial(seed: u64, plan: FaultPlan) -> ClusterSimulation {
+    let mut simulation = ClusterSimulation::new(seed, 6, plan);
+    for id in 0..60 {
+        let queue = if id % 3 == 0 { "urgent" } else { "bulk" };
+        let step = simulation::step(6, 2_000 + id % 3 * 1_000, 600 + id * 20, &[]);
+        simulation.submit(800 + id * 350, id, queue, vec![step]);
+    }
+    simulation.run_until(60_000);
+    simulation
+}
+
+fn assert_all_completed(seed: u64, simulation: &ClusterSimulation) {
+    assert_eq!(simulation.violations, Vec::<String>::new(), "seed {seed}");
+    for id in 0..60 {
+        let state = simulation.committed_state(id);
+        assert_eq!(state, Some(JobState::Completed), "seed {seed}: job {id}");
+    }
+}
+
+#[test]
+fn no_start_exceeds_a_capacity_that_has_shrunk() {
+    for seed in 0..10 {
+        assert_all_completed(seed, &run_trial(seed, shrinking_plan()));
+    }
+}
+
+#[test]
+fn a_capacity_that_has_grown_again_is_used() {
+    let plan = FaultPlan {
+        capacity_changes: (0..2)
+            .flat_map(|worker| [(worker, 500, 0.0), (worker, 6_000, 1.0)])
+            .collect(),
+        unguarded: true,
+        ..FaultPlan::default()
+    };
+    let mut simulation = ClusterSimulation::new(1, 2, plan);
+    simulation.submit(
+        2_000,
+        7,
+        "bulk",
+        vec![simulation::step(8, 3_000, 1_000, &[])],
+    );
+    simulation.run_until(5_900);
+    assert_eq!(simulation.running_tasks(7), 0);
+    simulation.run_until(8_000);
+    assert_eq!(simulation.start_count(7), 8);
+    assert_eq!(simulation.violations, Vec::<String>::new());
+}
+
+#[test]
+fn runs_that_are_being_stopped_count_after_a_takeover() {
+    for seed in 200..220 {
+        // The cancelled jobs have no place in the memory of the successor, but their runs go on.
+        let plan = FaultPlan {
+            takeovers: vec![4_000 + seed % 10 * 20],
+            unguarded: true,
+            ..FaultPlan::default()
+        };
+        let mut simulation = ClusterSimulation::new(seed, 3, plan);
+        for id in 0..3 {
+            simulation.submit(
+                1_000,
+                id,
+                "bulk",
+                vec![simulation::step(5, 3_000, 30_000, &[])],
+            );
+            simulation.cancel(3_760 + seed % 10 * 42, id);
+        }
+        simulation.submit(
+            2_000,
+            9,
+            "bulk",
+            vec![simulation::step(12, 3_000, 1_000, &[])],
+        );
+        simulation.run_until(10_000);
+        assert_eq!(simulation.violations, Vec::<String>::new(), "seed {seed}");
+        assert_eq!(
+            simulation.committed_state(9),
+            Some(JobState::Completed),
+            "seed {seed}"
+        );
+    }
+}
--- a/sapphirewalk_core/tests/coordinator/main.rs
+++ b/sapphirewalk_core/tests/coordinator/main.rs
@@ -2,6 +2,7 @@
 
 #![allow(missing_docs)]
 
+mod capacity;
 mod crashes;
 mod faults;
 mod job_lifecycle;
