Don't stop tasks for room that a shrunken worker doesn't have

In the model an urgent task stopped 15 bulk tasks on a worker whose capacity had shrunk below what it runs, and still found no room there.

Cause: the room that stops make was added to the free capacity, which is 0 both for a full worker and for one that is far over its capacity.

Change: stops are subtracted from what is claimed. The test fails before.

--- a/sapphirewalk_core/src/coordinator/preempt.rs
+++ b/sapphirewalk_core/src/coordinator/preempt.rs
@@ -140,8 +140,13 @@
         }
         let entry = self.workers.get(worker);
         let demand = worker_registry::reserved_demand(request.step) + reserved;
-        let mut room = entry.free();
-        let mut total = room;
+        // Claims may exceed a capacity that has shrunk, so stops free room only below it.
+        let room = |freed: ResourceVector| {
+            let claimed = entry.claimed().saturating_sub(freed);
+            entry.listing.capacity.saturating_sub(claimed)
+        };
+        let mut freed_soon = ResourceVector::ZERO;
+        let mut freeable = ResourceVector::ZERO;
         let mut candidates = Vec::new();
         for slot in &entry.tasks {
             let (Some(job), Some(task)) = (self.jobs.get(slot.job), self.jobs.task(*slot)) else {
@@ -150,22 +155,21 @@
             let step = &job.spec.steps[usize::from(job.step_of(slot.task))];
             let freed = worker_registry::reserved_demand(step);
             if task.stop_ordered {
-                room = room + freed;
-                total = total + freed;
+                freed_soon = freed_soon + freed;
                 continue;
             }
             let stoppable = task.phase == TaskPhase::Running && !step.service && !step.gang;
             if !stoppable || job.priority <= priority {
                 continue;
             }
-            total = total + freed;
+            freeable = freeable + freed;
             candidates.push(PreemptCandidate {
                 slot: *slot,
                 freed,
                 loss: preempt_loss(step, task),
             });
         }
-        if !demand.fits(total) {
+        if !demand.fits(room(freed_soon + freeable)) {
             return None;
         }
         candidates.sort_unstable_by(|one, other| one.loss.total_cmp(&other.loss));
@@ -175,9 +179,9 @@
             loss: 0.0,
         };
         let mut candidates = candidates.into_iter();
-        while !demand.fits(room) {
+        while !demand.fits(room(freed_soon)) {
             let candidate = candidates.next()?;
-            room = room + candidate.freed;
+            freed_soon = freed_soon + candidate.freed;
             plan.stops.push(candidate.slot);
             plan.loss += candidate.loss;
         }
--- a/sapphirewalk_core/tests/coordinator/capacity.rs
+++ b/sapphirewalk_core/tests/coordinator/capacity.rs
@@ -69,6 +69,32 @@
     assert_eq!(simulation.violations, Vec::<String>::new());
 }
 
+#[test]
+fn urgent_tasks_stop_nothing_on_a_worker_that_is_over_its_capacity() {
+    let plan = FaultPlan {
+        capacity_changes: vec![(0, 3_000, 0.25)],
+        unguarded: true,
+        ..FaultPlan::default()
+    };
+    let mut simulation = ClusterSimulation::new(1, 1, plan);
+    simulation.submit(
+        1_000,
+        7,
+        "bulk",
+        vec![simulation::step(16, 1_000, 20_000, &[])],
+    );
+    simulation.submit(
+        8_000,
+        8,
+        "urgent",
+        vec![simulation::step(1, 5_000, 30_000, &[])],
+    );
+    simulation.run_until(12_000);
+    // The urgent task needs more than the worker has left, however many others stop.
+    assert_eq!(simulation.stop_reasons, Vec::<String>::new());
+    assert_eq!(simulation.running_tasks(7), 16);
+}
+
 #[test]
 fn runs_that_are_being_stopped_count_after_a_takeover() {
     for seed in 200..220 {
