Withhold starts that were committed before their worker shrank

Cause: room is checked when a run is placed. The commit can take seconds, and a start without an answer is sent again for up to its deadline.

Change: before a start is sent, a worker over its capacity makes the task wait again; one that was sent before is stopped there first.

--- a/sapphirewalk_core/src/coordinator/commands.rs
+++ b/sapphirewalk_core/src/coordinator/commands.rs
@@ -220,6 +220,14 @@
             };
             if entry.kind == ResendKind::Stop || job_ended {
                 self.order_stop(slot, "again");
+            } else if task.phase == TaskPhase::Starting
+                && self.workers.get(entry.worker).is_over_capacity()
+            {
+                // An earlier send may still be carried out, so the run is stopped first.
+                self.order_stop(slot, "shrunk");
+                if let Some(task) = self.jobs.task_mut(slot) {
+                    task.phase = TaskPhase::Running;
+                }
             } else if task.phase == TaskPhase::Starting {
                 // The start may have crashed its worker, and would crash the next incarnation too.
                 if self.workers.get(entry.worker).answered_at > task.phase_since {
--- a/sapphirewalk_core/src/coordinator/commit.rs
+++ b/sapphirewalk_core/src/coordinator/commit.rs
@@ -253,7 +253,7 @@
     }
 
     /// Sends the start of a run that was just committed, unless its job has ended or its worker has
-    /// become silent or restarted.
+    /// become silent, shrunk or restarted.
     fn send_committed_start(&mut self, slot: TaskSlot, now: TimePoint) {
         let recording = self
             .jobs
@@ -265,11 +265,15 @@
         let job_ended = self.has_job_ended(slot.job);
         let withheld = self.jobs.task(slot).is_some_and(|task| {
             let entry = task.worker.map(|worker| self.workers.get(worker));
-            entry.is_some_and(|entry| entry.recorded_silent || entry.born_ms != task.worker_born_ms)
+            entry.is_some_and(|entry| {
+                entry.recorded_silent
+                    || entry.is_over_capacity()
+                    || entry.born_ms != task.worker_born_ms
+            })
         });
         if withheld {
-            // The worker became silent or restarted after it was chosen, and no start has been
-            // sent.
+            // The worker became silent, shrank or restarted after it was chosen, and no start has
+            // been sent.
             self.requeue_task(slot, now, TimeSpan::ZERO);
             self.mark_dirty(slot.job);
         } else if job_ended {
--- a/sapphirewalk_core/tests/coordinator/capacity.rs
+++ b/sapphirewalk_core/tests/coordinator/capacity.rs
@@ -46,6 +46,20 @@
     }
 }
 
+#[test]
+fn no_late_or_repeated_start_exceeds_a_capacity_that_has_shrunk() {
+    for seed in 100..115 {
+        let plan = FaultPlan {
+            lost_answers: 0.1,
+            lost_commit_answers: 0.2,
+            takeovers: vec![12_000],
+            store_outages: vec![(3_010, 9_500)],
+            ..shrinking_plan()
+        };
+        assert_all_completed(seed, &run_trial(seed, plan));
+    }
+}
+
 #[test]
 fn a_capacity_that_has_grown_again_is_used() {
     let plan = FaultPlan {
