Send a request that broke two endpoints' connections to no third one

An idempotent request that ends each endpoint that reads it was retried for as long as the service's retry budget lasted, up to 20 endpoints, each with the requests of other callers.

Cause: retries were bounded by the budget of the service and the deadline of the request, by nothing of the request's own.

Change: after two attempts whose connection broke after a byte was sent, a request gets no further attempt, and its outcome is the last error answer or unknown. Connections that break before a byte is sent don't count. The test fails before: the second break gave another retry.

The documentation of the former progress rows linked to a private constant, which rustdoc refuses.

--- a/sapphirewalk_core/src/progress_row.rs
+++ b/sapphirewalk_core/src/progress_row.rs
@@ -16,7 +16,7 @@
 /// Version before, which is still read. It has neither crashes nor incarnations of workers.
 const FORMER_VERSION: u8 = 1;
 
-/// Progress of a job in the encoding before [`VERSION`].
+/// Progress of a job in the former encoding.
 #[derive(Debug)]
 #[derive(Deserialize, Serialize)]
 pub struct FormerProgress {
@@ -34,7 +34,7 @@
     pub tasks: Vec<FormerTask>,
 }
 
-/// Progress of a task in the encoding before [`VERSION`].
+/// Progress of a task in the former encoding.
 #[derive(Debug)]
 #[derive(Deserialize, Serialize)]
 pub struct FormerTask {
--- a/sapphirewalk_core/src/request_outcome.rs
+++ b/sapphirewalk_core/src/request_outcome.rs
@@ -8,6 +8,10 @@
 use crate::retry_budget::RetryBudget;
 use crate::time::TimePoint;
 
+/// Attempts of a request whose connections may break after it was sent. The request may be what ends
+/// the endpoints, so no further one gets it, however many retries the budget still permits.
+const BROKEN_ATTEMPTS: u32 = 2;
+
 /// Number of an attempt within its request, in order of dispatch.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct AttemptKey(u32);
@@ -65,6 +69,8 @@
     is_idempotent: bool,
     deadline: RequestDeadline,
     attempts: Vec<AttemptState>,
+    /// Attempts whose connection broke after a byte was sent.
+    broken: u32,
     end: RequestEnd,
 }
 
@@ -98,6 +104,7 @@
             is_idempotent,
             deadline,
             attempts: Vec::new(),
+            broken: 0,
             end: RequestEnd::Open,
         }
     }
@@ -131,6 +138,8 @@
         if !state.is_in_progress() || self.end != RequestEnd::Open {
             return OutcomeStep::Drop;
         }
+        let is_broken = *state == AttemptState::Sent && event == AttemptEvent::Broken;
+        self.broken += u32::from(is_broken);
         *state = state.after(event);
         match self.attempts[attempt.0 as usize] {
             AttemptState::Answered => self.answer(attempt),
@@ -198,9 +207,10 @@
         self.on_no_endpoint()
     }
 
-    /// Whether a further attempt cannot make a request that is not idempotent run twice.
+    /// Whether a further attempt cannot make a request that is not idempotent run twice, and the
+    /// request has not broken so many connections that it may be the cause.
     fn may_begin(&self) -> bool {
-        self.is_idempotent
+        self.is_idempotent && self.broken < BROKEN_ATTEMPTS
             || self
                 .attempts
                 .iter()
--- a/sapphirewalk_core/tests/request_outcome.rs
+++ b/sapphirewalk_core/tests/request_outcome.rs
@@ -244,3 +244,28 @@
         OutcomeStep::Drop
     );
 }
+
+#[test]
+fn a_request_that_breaks_its_endpoints_is_not_sent_to_a_third() {
+    let mut gateway = Gateway::new(true);
+    for (attempt, expected) in [
+        (0, OutcomeStep::Retry),
+        (1, OutcomeStep::Fail(FailedOutcome::Unknown)),
+    ] {
+        gateway.apply(Operation::Begin);
+        gateway.apply_event(attempt, AttemptEvent::FirstByteSent);
+        let step = gateway.apply_event(attempt, AttemptEvent::Broken);
+        assert_eq!(step, expected, "attempt {attempt}");
+    }
+    assert_eq!(gateway.request.begin_attempt(), None);
+}
+
+#[test]
+fn connections_that_break_before_a_byte_is_sent_are_not_held_against_a_request() {
+    let mut gateway = Gateway::new(true);
+    for attempt in 0..5 {
+        gateway.apply(Operation::Begin);
+        let step = gateway.apply_event(attempt, AttemptEvent::Broken);
+        assert_eq!(step, OutcomeStep::Retry, "attempt {attempt}");
+    }
+}
