Pass over stored jobs that no entry VM would have accepted

A stored job whose step waits for one that doesn't exist ended the leader by a panic, and then each successor, which reads the same rows.

Cause: a job was checked when it was accepted, not when it was read.

Change: leader and successor check it, log job_invalid and go on. The test fails before by the panic.

--- a/sapphirewalk_core/src/coordinator/mod.rs
+++ b/sapphirewalk_core/src/coordinator/mod.rs
@@ -314,6 +314,10 @@
 
     fn on_stored(&mut self, record: JobRecord, now: TimePoint) {
         let id = record.id;
+        if let Err(fault) = record.spec.check() {
+            self.log("job_invalid", Some(id), format!("cause={fault:?}"));
+            return;
+        }
         let mut job = self.new_job(record, now);
         let accepted_at = job.accepted_at;
         job.begin_due(now);
--- a/sapphirewalk_core/src/coordinator/recover.rs
+++ b/sapphirewalk_core/src/coordinator/recover.rs
@@ -67,6 +67,10 @@
         let mut unverified = 0usize;
         for record in jobs {
             let id = record.id;
+            if let Err(fault) = record.spec.check() {
+                self.log("job_invalid", Some(id), format!("cause={fault:?}"));
+                continue;
+            }
             let mut job = self.new_job(record, now);
             let found = progress.binary_search_by_key(&id, |row| row.id);
             let row = found.ok().map(|index| progress[index].clone());
--- a/sapphirewalk_core/tests/coordinator/malformed.rs
+++ b/sapphirewalk_core/tests/coordinator/malformed.rs
@@ -13,7 +13,9 @@
 use sapphirewalk_core::coordinator::OrderAnswer;
 use sapphirewalk_core::coordinator::OrderTarget;
 use sapphirewalk_core::coordinator::PollAnswer;
+use sapphirewalk_core::coordinator::RecoveryRecords;
 use sapphirewalk_core::coordinator::RunEnd;
+use sapphirewalk_core::job_registry::JobState;
 use sapphirewalk_core::job_spec::JobId;
 use sapphirewalk_core::job_spec::JobSpec;
 use sapphirewalk_core::job_spec::RunName;
@@ -228,3 +230,45 @@
         }
     }
 }
+
+/// A coordinator of the given fencing token without workers.
+fn new_coordinator(fence: u64, now: TimePoint) -> JobCoordinator {
+    let limits = CoordinatorLimits {
+        longest_lease: TimeSpan::from_millis(10_000),
+        retention: TimeSpan::from_secs(120),
+        harm_tolerance: TimeSpan::from_secs(4),
+    };
+    JobCoordinator::new(limits, fence, now)
+}
+
+/// A job that no entry VM accepts: its second step waits for one that doesn't exist.
+fn invalid_record(id: u64, now: TimePoint) -> JobRecord {
+    let mut invalid = record(id, now);
+    invalid.spec.steps[1].after = vec![7];
+    invalid
+}
+
+#[test]
+fn an_invalid_stored_job_ends_neither_a_leader_nor_its_successors() {
+    let now = TimePoint::from_millis(START_MS);
+    let mut leader = new_coordinator(1, now);
+    leader.set_workers((0..WORKERS).map(listing).collect(), now);
+    leader.handle(Event::Stored(invalid_record(1, now)), now);
+    leader.handle(Event::Stored(record(2, now)), now);
+    leader.run(now);
+    let mut successor = new_coordinator(2, now);
+    successor.set_workers((0..WORKERS).map(listing).collect(), now);
+    let records = RecoveryRecords {
+        jobs: vec![invalid_record(1, now), record(2, now)],
+        ..RecoveryRecords::default()
+    };
+    successor.restore(records, now);
+    successor.run(now);
+    for coordinator in [&leader, &successor] {
+        assert_eq!(coordinator.committed_state(JobId(1)), None);
+        assert_eq!(
+            coordinator.committed_state(JobId(2)),
+            Some(JobState::Queued)
+        );
+    }
+}
