Park a task of the scheduler daemon whose workers end one after another

A task whose worker was gone was queued again without any count; only failures that a worker reported counted.

Change: an attempt that ends because its worker is gone for good counts until one has run for a minute or ended otherwise; after five in a row the task is parked with a reason that names the remedy. The count is in the task's row, so a successor goes on with it. A worker that is only unreachable doesn't count: the model of the lifecycle showed that such tasks would be parked. There is no attribution as in the coordinator: at this daemon's size a task loses five workers in a row only if it is the cause.

--- a/sapphirewalk/src/scheduler/api/submission.rs
+++ b/sapphirewalk/src/scheduler/api/submission.rs
@@ -49,6 +49,7 @@
         checkpoint: None,
         evictions: 0,
         failures: 0,
+        losses: 0,
         cancel_requested: false,
         reason: None,
         moved_to: None,
--- a/sapphirewalk/src/scheduler/held/workers.rs
+++ b/sapphirewalk/src/scheduler/held/workers.rs
@@ -221,8 +221,10 @@
             if !node.is_gone() && (now < stopped_at || awaits_first_answer) {
                 continue;
             }
+            let is_gone = node.is_gone();
             for task in self.tasks_on(worker) {
-                self.apply_event(task, LifecycleEvent::AttemptOver { worker }, now);
+                let event = LifecycleEvent::AttemptOver { worker, is_gone };
+                self.apply_event(task, event, now);
             }
         }
     }
--- a/sapphirewalk/src/scheduler/task_row.rs
+++ b/sapphirewalk/src/scheduler/task_row.rs
@@ -23,6 +23,10 @@
         ParkReason::FailsRepeatedly,
         "failed on several workers on which other tasks succeed; correct the task",
     ),
+    (
+        ParkReason::LosesWorkers,
+        "each of the last workers that started it ended; correct the task",
+    ),
     (
         ParkReason::OutOfMemory,
         "ran out of memory with the most that a worker has; correct the task",
@@ -40,6 +44,7 @@
         checkpoint: row.checkpoint.clone(),
         evictions: row.evictions,
         failures: row.failures,
+        losses: row.losses,
         cancel_requested: row.cancel_requested,
         park_reason: row.reason.as_deref().and_then(to_park_reason),
     }
@@ -63,6 +68,7 @@
         checkpoint: record.checkpoint.clone(),
         evictions: record.evictions,
         failures: record.failures,
+        losses: record.losses,
         cancel_requested: record.cancel_requested,
         reason: record
             .park_reason
--- a/sapphirewalk_core/src/placement.rs
+++ b/sapphirewalk_core/src/placement.rs
@@ -99,6 +99,8 @@
     FailsRepeatedly,
     /// It ran out of memory with as much as the largest worker has.
     OutOfMemory,
+    /// The workers of its last attempts ended soon after they had started it.
+    LosesWorkers,
 }
 
 /// A worker that was scored for a task.
--- a/sapphirewalk_core/src/task_lifecycle.rs
+++ b/sapphirewalk_core/src/task_lifecycle.rs
@@ -10,6 +10,13 @@
 use crate::placement::ParkReason;
 use crate::resource::ResourceVector;
 use crate::time::TimePoint;
+use crate::time::TimeSpan;
+
+/// Attempts in a row that end with their worker, after which a task is parked: it may be what ends
+/// the workers.
+const LOSS_LIMIT: u32 = 5;
+/// Time after which the end of an attempt's worker no longer counts towards [`LOSS_LIMIT`].
+const LOSS_SPAN: TimeSpan = TimeSpan::from_secs(60);
 
 /// Identifies the write that recorded an attempt; drawn at random. Distinguishes it from a write of
 /// the same attempt by another scheduler.
@@ -51,6 +58,8 @@
     pub evictions: u32,
     /// How often an attempt failed through no action of the scheduler.
     pub failures: u32,
+    /// Attempts in a row that ended with their worker soon after their start.
+    pub losses: u32,
     /// Whether its caller requested its cancellation; never reset.
     pub cancel_requested: bool,
     /// Why it is parked; `None` in every other phase.
@@ -219,6 +228,8 @@
     AttemptOver {
         /// The worker of the attempt; an event for another worker is ignored.
         worker: WorkerKey,
+        /// Whether the worker is gone for good; it may be unreachable otherwise.
+        is_gone: bool,
     },
     /// The caller cancelled the task.
     Cancel,
@@ -234,6 +245,10 @@
     version: u64,
     record: TaskRecord,
     checkpoint: Option<String>,
+    /// As in the row, which it may be ahead of.
+    losses: u32,
+    /// When the worker first confirmed the last attempt; `None` before.
+    running_since: Option<TimePoint>,
     stage: LifecycleStage,
     /// From then on the worker refuses every start command of the last attempt that may still
     /// arrive; `None` while none may.
@@ -266,6 +281,8 @@
         let mut lifecycle = Self {
             version,
             checkpoint: record.checkpoint.clone(),
+            losses: record.losses,
+            running_since: None,
             cancel_requested: record.cancel_requested,
             evict_requested: false,
             stage: LifecycleStage::Ready,
@@ -337,7 +354,9 @@
                 }
                 self.on_report(queried_at, status, now)
             }
-            LifecycleEvent::AttemptOver { worker } => self.on_attempt_over(worker),
+            LifecycleEvent::AttemptOver { worker, is_gone } => {
+                self.on_attempt_over(worker, is_gone, now)
+            }
             LifecycleEvent::Cancel => self.on_cancel(),
             LifecycleEvent::Evict => self.on_evict(),
             LifecycleEvent::Tick => self.on_tick(),
@@ -449,6 +468,7 @@
             RecordPhase::Running => {
                 self.evict_requested = false;
                 self.refused_at = None;
+                self.running_since = None;
                 self.stage = LifecycleStage::Starting;
                 self.start_step()
             }
@@ -466,6 +486,7 @@
         }
         match (reply, self.refused_at) {
             (StartReply::Started, _) => {
+                self.running_since = Some(now);
                 self.stage = LifecycleStage::Running { confirmed_at: now };
                 self.repeat_request()
             }
@@ -500,6 +521,12 @@
         if !self.may_run() {
             return LifecycleStep::NoAction;
         }
+        if !matches!(
+            status,
+            AttemptStatus::Running { .. } | AttemptStatus::Unknown
+        ) {
+            self.losses = 0;
+        }
         match status {
             AttemptStatus::Running { checkpoint } => self.confirm_running(checkpoint, now),
             AttemptStatus::Finished => self.write(TaskRecord {
@@ -516,6 +543,7 @@
         if checkpoint.is_some() {
             self.checkpoint = checkpoint;
         }
+        self.running_since.get_or_insert(now);
         self.stage = LifecycleStage::Running { confirmed_at: now };
         self.repeat_request()
     }
@@ -580,10 +608,28 @@
         }
     }
 
-    fn on_attempt_over(&mut self, worker: WorkerKey) -> LifecycleStep {
+    /// Handles the end of an attempt without a report. A task that has lost too many workers in a
+    /// row is parked.
+    fn on_attempt_over(
+        &mut self,
+        worker: WorkerKey,
+        is_gone: bool,
+        now: TimePoint,
+    ) -> LifecycleStep {
         if self.record.worker != Some(worker) || !self.may_run() {
             return LifecycleStep::NoAction;
         }
+        let settled = self
+            .running_since
+            .is_some_and(|since| now.since(since) >= LOSS_SPAN);
+        if settled {
+            self.losses = 0;
+        } else if is_gone {
+            self.losses += 1;
+        }
+        if self.losses >= LOSS_LIMIT && !self.cancel_requested {
+            return self.write(self.parked_record(ParkReason::LosesWorkers));
+        }
         self.become_ready()
     }
 
@@ -696,6 +742,10 @@
     }
 
     fn write(&mut self, record: TaskRecord) -> LifecycleStep {
+        let record = TaskRecord {
+            losses: self.losses,
+            ..record
+        };
         let write = TaskWrite {
             version: self.version,
             record,
--- a/sapphirewalk_core/tests/model/simulation.rs
+++ b/sapphirewalk_core/tests/model/simulation.rs
@@ -335,6 +335,7 @@
             if !self.holders[holder].awaits_task(task) {
                 let event = LifecycleEvent::AttemptOver {
                     worker: WorkerKey(worker as u32),
+                    is_gone: false,
                 };
                 self.on_lifecycle_event(holder, task, event);
             }
--- a/sapphirewalk_core/tests/task_lifecycle.rs
+++ b/sapphirewalk_core/tests/task_lifecycle.rs
@@ -3,6 +3,7 @@
 mod model;
 
 use sapphirewalk_core::key::WorkerKey;
+use sapphirewalk_core::placement::ParkReason;
 use sapphirewalk_core::resource::ResourceVector;
 use sapphirewalk_core::task_lifecycle::AttemptStatus;
 use sapphirewalk_core::task_lifecycle::AttemptToken;
@@ -204,3 +205,70 @@
     assert_eq!(write.record.attempt, 2);
     assert_eq!(write.record.checkpoint.as_deref(), Some("half"));
 }
+
+/// Loses the worker of a started attempt at `secs`, and starts the next one if there is one.
+fn lose_worker(lifecycle: &mut TaskLifecycle, secs: u64) -> LifecycleStep {
+    let worker = lifecycle.record().worker.expect("an attempt is recorded");
+    let event = LifecycleEvent::AttemptOver {
+        worker,
+        is_gone: true,
+    };
+    let step = lifecycle.on_event(event, at(secs));
+    if step == LifecycleStep::Enqueue {
+        let event = LifecycleEvent::Placed {
+            worker: WorkerKey(worker.0 + 1),
+            granted: ResourceVector::ZERO,
+            token: AttemptToken(u128::from(secs)),
+        };
+        expect_write(lifecycle.on_event(event, at(secs)));
+        let version = lifecycle.version() + 1;
+        lifecycle.on_event(LifecycleEvent::Committed { version }, at(secs));
+    }
+    step
+}
+
+#[test]
+fn a_task_whose_workers_end_one_after_another_is_parked() {
+    let mut lifecycle = started();
+    for secs in 1..5 {
+        assert_eq!(lose_worker(&mut lifecycle, secs), LifecycleStep::Enqueue);
+    }
+    // The row holds the losses, so that a successor goes on counting.
+    let (mut lifecycle, _) = TaskLifecycle::load(lifecycle.version(), lifecycle.record().clone());
+    let write = expect_write(lose_worker(&mut lifecycle, 5));
+    assert_eq!(write.record.phase, RecordPhase::Parked);
+    assert_eq!(write.record.park_reason, Some(ParkReason::LosesWorkers));
+}
+
+#[test]
+fn a_task_that_ran_for_long_is_not_parked_when_its_workers_end() {
+    let mut lifecycle = started();
+    for round in 1..8 {
+        let secs = round * 100;
+        lifecycle.on_event(LifecycleEvent::StartReplied(StartReply::Started), at(secs));
+        let step = lose_worker(&mut lifecycle, secs + 61);
+        assert_eq!(step, LifecycleStep::Enqueue, "round {round}");
+    }
+}
+
+#[test]
+fn a_task_on_unreachable_workers_is_not_parked() {
+    let mut lifecycle = started();
+    for secs in 1..9 {
+        let worker = lifecycle.record().worker.expect("an attempt is recorded");
+        let event = LifecycleEvent::AttemptOver {
+            worker,
+            is_gone: false,
+        };
+        let step = lifecycle.on_event(event, at(secs));
+        assert_eq!(step, LifecycleStep::Enqueue, "at {secs} s");
+        let event = LifecycleEvent::Placed {
+            worker,
+            granted: ResourceVector::ZERO,
+            token: AttemptToken(u128::from(secs)),
+        };
+        expect_write(lifecycle.on_event(event, at(secs)));
+        let version = lifecycle.version() + 1;
+        lifecycle.on_event(LifecycleEvent::Committed { version }, at(secs));
+    }
+}
--- a/sapphirewalk_wire/src/row.rs
+++ b/sapphirewalk_wire/src/row.rs
@@ -128,6 +128,9 @@
     pub evictions: u32,
     /// Number of attempts that failed by a fault of the task.
     pub failures: u32,
+    /// Number of attempts in a row that ended with their worker soon after their start.
+    #[serde(default)]
+    pub losses: u32,
     /// Whether the caller has requested the cancellation.
     pub cancel_requested: bool,
     /// Reason for the state, with a remedy; absent if the state needs none.
