Keep the room of a restarted worker in step with what it lists

Clearing what unowned runs hold without updating the room left the room too small until the next change there. The list that shows the restart sets both. Found by reading; starts were only withheld, never let through.

--- a/sapphirewalk_core/src/coordinator/poll.rs
+++ b/sapphirewalk_core/src/coordinator/poll.rs
@@ -177,7 +177,6 @@
             entry.handled_end = 0;
             entry.acked_end = 0;
             entry.clock = None;
-            entry.unowned = ResourceVector::ZERO;
             entry.alive_ms = 0;
             // Starts in flight may still reach the new incarnation, so their deadlines count as
             // leases on its clock.
