Saturate products and sums of outside numbers

A caller's job may state any 64-bit cpu and estimate. The rank of a waiting step multiplies them, and the demands of a worker's best-effort tasks are summed: a test build panicked in the leader, and each successor that restored the job; a release build wrapped, so that the largest job ranked among the smallest.

Ruled out: resource vectors and times, which saturate already.

The sums in relocate, interference and eviction are of the same kind; the test doesn't reach them.

--- a/sapphirewalk_core/src/coordinator/relocate.rs
+++ b/sapphirewalk_core/src/coordinator/relocate.rs
@@ -184,7 +184,7 @@
             let (demand, cpu_millis) = claims.fold(
                 (room.demand, room.best_effort_cpu_millis),
                 |(demand, cpu_millis), pending| {
-                    let cpu_millis = cpu_millis + pending.best_effort_cpu_millis;
+                    let cpu_millis = cpu_millis.saturating_add(pending.best_effort_cpu_millis);
                     (demand + pending.demand, cpu_millis)
                 },
             );
--- a/sapphirewalk_core/src/demand_summary.rs
+++ b/sapphirewalk_core/src/demand_summary.rs
@@ -25,10 +25,10 @@
     pub fn add(&mut self, step: &StepSpec, image: ImageKey) {
         let cpu_millis = step.demand.cpu_millis;
         if step.service {
-            self.service_cpu_millis += cpu_millis;
+            self.service_cpu_millis = self.service_cpu_millis.saturating_add(cpu_millis);
             increase(&mut self.service_images, image, 1);
         } else {
-            self.other_cpu_millis += cpu_millis;
+            self.other_cpu_millis = self.other_cpu_millis.saturating_add(cpu_millis);
         }
         if step.best_effort {
             increase(&mut self.best_effort_images, image, cpu_millis);
@@ -52,7 +52,7 @@
 
 fn increase(sums: &mut Vec<(ImageKey, u64)>, image: ImageKey, amount: u64) {
     match sums.binary_search_by_key(&image, |(known, _)| *known) {
-        Ok(found) => sums[found].1 += amount,
+        Ok(found) => sums[found].1 = sums[found].1.saturating_add(amount),
         Err(place) => sums.insert(place, (image, amount)),
     }
 }
--- a/sapphirewalk_core/src/eviction.rs
+++ b/sapphirewalk_core/src/eviction.rs
@@ -368,8 +368,9 @@
 ) -> Option<&'a RunningAttempt> {
     let band = LoadBand::of(entry.cpu_load());
     let impact = |attempt: &RunningAttempt| {
-        interference.coefficient(kind, attempt.kind, band)
-            * (attempt.granted.cpu_millis * u64::from(attempt.cpu_permille)) as f64
+        let cpu_permille = u64::from(attempt.cpu_permille);
+        let cpu = attempt.granted.cpu_millis.saturating_mul(cpu_permille);
+        interference.coefficient(kind, attempt.kind, band) * cpu as f64
     };
     entry
         .attempts()
--- a/sapphirewalk_core/src/interference.rs
+++ b/sapphirewalk_core/src/interference.rs
@@ -151,7 +151,8 @@
         let capacity = entry.profile().capacity.cpu_millis.max(1) as f64;
         let mut mix = Self::default();
         for attempt in entry.attempts() {
-            let cpu_millis = attempt.granted.cpu_millis * u64::from(attempt.cpu_permille);
+            let cpu_permille = u64::from(attempt.cpu_permille);
+            let cpu_millis = attempt.granted.cpu_millis.saturating_mul(cpu_permille);
             let share = cpu_millis as f64 / f64::from(FULL_SPEED_PERMILLE) / capacity;
             mix.add(attempt.kind, share);
         }
--- a/sapphirewalk_core/src/job_order.rs
+++ b/sapphirewalk_core/src/job_order.rs
@@ -158,15 +158,16 @@
     }
 }
 
-/// Processor time of the unfinished tasks in core-ms, by the caller's estimates.
+/// Processor time of the unfinished tasks in core-ms, by the caller's estimates; saturates.
 fn remaining_work(job: &JobEntry, occurrence: &OccurrenceEntry) -> u64 {
     let steps = job.spec.steps.iter().zip(&occurrence.remaining_tasks);
     steps
         .map(|(step, count)| {
-            let task = step.demand.cpu_millis * step.estimate.as_millis() / CPU_MILLIS_PER_CORE;
-            task * u64::from(*count)
+            let work = step.demand.cpu_millis;
+            let work = work.saturating_mul(step.estimate.as_millis()) / CPU_MILLIS_PER_CORE;
+            work.saturating_mul(u64::from(*count))
         })
-        .sum()
+        .fold(0, u64::saturating_add)
 }
 
 /// Bound on the starts that [`OverdueShare`] counts: four starts of overdue work.
--- a/sapphirewalk_core/tests/coordinator/malformed.rs
+++ b/sapphirewalk_core/tests/coordinator/malformed.rs
@@ -1,4 +1,4 @@
-//! Absurd answers of workers, drawn from seeds, end no coordinator.
+//! Absurd answers and entries of workers, and absurd jobs, drawn from seeds, end no coordinator.
 
 use rand::RngExt;
 use rand::SeedableRng;
@@ -17,6 +17,7 @@
 use sapphirewalk_core::coordinator::RunEnd;
 use sapphirewalk_core::job_registry::JobState;
 use sapphirewalk_core::job_spec::JobId;
+use sapphirewalk_core::job_spec::JobSchedule;
 use sapphirewalk_core::job_spec::JobSpec;
 use sapphirewalk_core::job_spec::RunName;
 use sapphirewalk_core::job_spec::TaskName;
@@ -281,3 +282,135 @@
         );
     }
 }
+
+/// Runs a coordinator for a while, with answers of workers that carry out all orders, except that
+/// `absent` never answers. Runs never end by themselves; `runs` are those on workers.
+fn run_answered(
+    coordinator: &mut JobCoordinator,
+    absent: &str,
+    runs: &mut Vec<(String, RunName)>,
+    now: &mut TimePoint,
+    rounds: u32,
+) {
+    for _ in 0..rounds {
+        *now = *now + TimeSpan::from_millis(20);
+        let mut events = Vec::new();
+        for effect in coordinator.run(*now) {
+            let clock_ms = now.as_millis() - START_MS + 1;
+            match effect {
+                Effect::Commit(batch) => events.push(Event::Committed(batch.number)),
+                Effect::Start { target, run, .. } => {
+                    runs.push((target.id, run));
+                    events.push(Event::Started {
+                        worker: target.worker,
+                        fence: target.fence,
+                        run,
+                        answer: OrderAnswer::Accepted { clock_ms },
+                    });
+                }
+                Effect::Stop { target, run } => {
+                    runs.retain(|(_, other)| *other != run);
+                    events.push(Event::Stopped {
+                        worker: target.worker,
+                        fence: target.fence,
+                        run,
+                        answer: OrderAnswer::Accepted { clock_ms },
+                    });
+                }
+                Effect::Poll {
+                    target,
+                    deadline_ms,
+                    ..
+                } => {
+                    let own = runs.iter().filter(|(worker, _)| *worker == target.id);
+                    let running = own.map(|(_, run)| ListedRun {
+                        run: *run,
+                        checkpoint: String::new(),
+                        percent: u32::try_from(clock_ms / 100).unwrap(),
+                        gauge: None,
+                    });
+                    let answer = if target.id == absent {
+                        PollAnswer::Missing
+                    } else {
+                        PollAnswer::Lists {
+                            clock_ms,
+                            born_ms: 1,
+                            running: running.collect(),
+                            ended: Vec::new(),
+                        }
+                    };
+                    events.push(Event::Polled {
+                        worker: target.worker,
+                        deadline_ms,
+                        answer,
+                    });
+                }
+                Effect::Pace { .. } | Effect::StepDown | Effect::Log(_) => {}
+            }
+        }
+        for event in events {
+            coordinator.handle(event, *now);
+        }
+    }
+}
+
+#[test]
+fn absurd_jobs_and_entries_end_no_coordinator() {
+    for seed in 0..60 {
+        let mut generator = AnswerGenerator {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+        };
+        let mut now = TimePoint::from_millis(START_MS);
+        let mut coordinator = new_coordinator(1, now);
+        let jobs: Vec<JobRecord> = (0..8).map(|id| absurd_record(&mut generator, id)).collect();
+        for job in &jobs {
+            coordinator.handle(Event::Stored(job.clone()), now);
+        }
+        let mut runs = Vec::new();
+        for _ in 0..10 {
+            let mut listings: Vec<WorkerListing> = (0..WORKERS).map(listing).collect();
+            for listing in &mut listings[1..] {
+                listing.capacity = ResourceVector {
+                    cpu_millis: generator.number(),
+                    memory_mib: generator.number(),
+                    accelerators: generator.number(),
+                };
+                listing.draining = generator.number() == 0;
+                listing.leaves_in = TimeSpan::from_millis(generator.number());
+                listing.born_ms = generator.number();
+            }
+            coordinator.set_workers(listings, now);
+            run_answered(&mut coordinator, "", &mut runs, &mut now, 20);
+        }
+        let mut successor = new_coordinator(2, now);
+        let records = RecoveryRecords {
+            jobs,
+            ..RecoveryRecords::default()
+        };
+        successor.restore(records, now);
+        successor.set_workers((0..WORKERS).map(listing).collect(), now);
+        run_answered(&mut successor, "", &mut runs, &mut now, 20);
+    }
+}
+
+/// A job with the largest and random numbers.
+fn absurd_record(generator: &mut AnswerGenerator, id: u64) -> JobRecord {
+    let mut absurd = record(id, TimePoint::from_millis(generator.number()));
+    for step in &mut absurd.spec.steps {
+        step.demand = ResourceVector {
+            cpu_millis: generator.number(),
+            memory_mib: generator.number() % 100_000,
+            accelerators: 0,
+        };
+        step.estimate = TimeSpan::from_millis(generator.number());
+        step.tail_target = TimeSpan::from_millis(generator.number());
+    }
+    if id.is_multiple_of(4) {
+        absurd.spec.schedule = Some(JobSchedule {
+            first_at: TimePoint::from_millis(generator.number()),
+            interval: TimeSpan::from_millis(generator.number()),
+            occurrences: 3,
+        });
+    }
+    absurd
+}
