Bound the occurrences of a job that are in progress

A schedule with a first time in the past, no interval and up to 4,294,967,295 occurrences began all of them at once. The leader would have run out of memory, and each successor that restores the job. Their progress is also one row of the store, which refuses rows that are too long.

Begin occurrences only as long as their tasks are at most as many as one job may have, and at least one; the others begin as earlier ones are done.

Test: 20,000 occurrences that are due at once. Before, all of them were begun in one call.

--- a/sapphirewalk_core/src/job_registry.rs
+++ b/sapphirewalk_core/src/job_registry.rs
@@ -8,6 +8,7 @@
 
 use crate::crash_history::CrashHistory;
 use crate::image_interference::ImageKey;
+use crate::job_spec;
 use crate::job_spec::JobId;
 use crate::job_spec::JobSpec;
 use crate::job_spec::RunName;
@@ -387,13 +388,14 @@
         }
     }
 
-    /// Creates the occurrences that have become due.
+    /// Creates the occurrences that have become due, as long as the tasks of all that are in
+    /// progress fit one row of the platform's store.
     pub fn begin_due(&mut self, now: TimePoint) {
         let (first_at, interval, total) = match self.spec.schedule {
             None => (self.accepted_at, TimeSpan::ZERO, 1),
             Some(schedule) => (schedule.first_at, schedule.interval, schedule.occurrences),
         };
-        while self.next_occurrence < total {
+        while self.next_occurrence < total && self.has_room_for_occurrence() {
             let offset = interval
                 .as_micros()
                 .saturating_mul(u64::from(self.next_occurrence));
@@ -407,7 +409,14 @@
         }
     }
 
-    /// Whether every scheduled occurrence has become due.
+    /// Whether another occurrence may be in progress besides the present ones.
+    fn has_room_for_occurrence(&self) -> bool {
+        let tasks = self.spec.task_count();
+        let most = (job_spec::MAX_TASKS as usize / tasks.max(1)).max(1);
+        self.occurrences.len() < most
+    }
+
+    /// Whether every scheduled occurrence has begun.
     pub fn all_begun(&self) -> bool {
         let total = self
             .spec
--- a/sapphirewalk_core/tests/coordinator/malformed.rs
+++ b/sapphirewalk_core/tests/coordinator/malformed.rs
@@ -15,7 +15,10 @@
 use sapphirewalk_core::coordinator::PollAnswer;
 use sapphirewalk_core::coordinator::RecoveryRecords;
 use sapphirewalk_core::coordinator::RunEnd;
+use sapphirewalk_core::image_interference::InterferenceModel;
+use sapphirewalk_core::job_registry::JobEntry;
 use sapphirewalk_core::job_registry::JobState;
+use sapphirewalk_core::job_spec;
 use sapphirewalk_core::job_spec::JobId;
 use sapphirewalk_core::job_spec::JobSchedule;
 use sapphirewalk_core::job_spec::JobSpec;
@@ -414,3 +417,29 @@
     }
     absurd
 }
+
+/// Guards against a schedule that takes all memory of the leader, and of each successor.
+#[test]
+fn occurrences_in_progress_are_bounded_however_many_are_due() {
+    let now = TimePoint::from_millis(START_MS);
+    let mut due_at_once = record(1, now);
+    due_at_once.spec.schedule = Some(JobSchedule {
+        first_at: TimePoint::EPOCH,
+        interval: TimeSpan::ZERO,
+        occurrences: 20_000,
+    });
+    let mut images = InterferenceModel::default();
+    let mut job = JobEntry::new(due_at_once, now, |name| images.intern(name));
+    let mut begun = 0;
+    while begun < 20_000 {
+        job.begin_due(now);
+        let tasks: usize = job.occurrences.iter().map(|entry| entry.tasks.len()).sum();
+        assert!(tasks <= job_spec::MAX_TASKS as usize, "{tasks} tasks");
+        assert!(!job.occurrences.is_empty());
+        begun += job.occurrences.len();
+        for entry in &mut job.occurrences {
+            entry.remaining_tasks.fill(0);
+        }
+        assert_eq!(job.drop_done_occurrences(), begun == 20_000);
+    }
+}
