Leave workers that have never answered out of what a pool has free

An entry in the worker list that names no real worker draws no tasks, since tasks are placed only on workers that have answered. But it counted in the free share of its pool: with endless room there the pool looked empty, every best-effort job without a run counted as starved, and was placed on full workers beside tasks that it disturbs. It also kept a fleet of which all domains are evacuated from refusing new jobs, since its own domain is not.

Preemption and reservations ask for eligible workers, which must have answered.

Tests: a full pool beside a worker with endless room that never answers: no task goes to it, and a best-effort task waits; before, it was placed as the 65th on 64 cores. All domains of workers that answer are evacuated: the coordinator says so; before, it did not.

--- a/sapphirewalk_core/src/coordinator/evacuation.rs
+++ b/sapphirewalk_core/src/coordinator/evacuation.rs
@@ -80,13 +80,15 @@
     }
 
     /// Whether there are listed workers, and the failure domain of each is to be evacuated, so that
-    /// no job could run.
+    /// no job could run. Workers that have never answered, and don't now, are left out.
     pub fn is_wholly_evacuated(&self) -> bool {
-        let mut listed = self.workers.iter().filter(|(_, entry)| entry.listed);
-        let Some((_, first)) = listed.next() else {
+        let workers = self.workers.iter().map(|(_, entry)| entry);
+        let mut listed = workers
+            .filter(|entry| entry.listed && (entry.fence_confirmed || entry.failed_polls == 0));
+        let Some(first) = listed.next() else {
             return false;
         };
-        first.evacuated && listed.all(|(_, entry)| entry.evacuated)
+        first.evacuated && listed.all(|entry| entry.evacuated)
     }
 
     /// Whether the view of the requests is recent enough to start tasks.
--- a/sapphirewalk_core/src/coordinator/place.rs
+++ b/sapphirewalk_core/src/coordinator/place.rs
@@ -806,12 +806,14 @@
     }
 
     /// Share of a pool's resources that nothing claims, the scarcer of processor time and memory.
-    /// Evacuated workers are left out: nobody can use what is free there.
+    /// Evacuated workers and those that have never answered are left out: nobody can use what is
+    /// free there.
     fn pool_free_share(&self, pool: PoolKey) -> f64 {
         let mut capacity = ResourceVector::ZERO;
         let mut free = ResourceVector::ZERO;
         for (worker, entry) in self.workers.iter() {
-            if entry.listed && !entry.evacuated && self.workers.pool(worker) == pool {
+            let counts = entry.listed && entry.fence_confirmed && !entry.evacuated;
+            if counts && self.workers.pool(worker) == pool {
                 capacity = capacity + entry.listing.capacity;
                 free = free + entry.free();
             }
--- a/sapphirewalk_core/tests/coordinator/malformed.rs
+++ b/sapphirewalk_core/tests/coordinator/malformed.rs
@@ -15,6 +15,8 @@
 use sapphirewalk_core::coordinator::PollAnswer;
 use sapphirewalk_core::coordinator::RecoveryRecords;
 use sapphirewalk_core::coordinator::RunEnd;
+use sapphirewalk_core::domain_evacuation::EvacuationRequest;
+use sapphirewalk_core::domain_evacuation::EvacuationView;
 use sapphirewalk_core::image_interference::InterferenceModel;
 use sapphirewalk_core::job_registry::JobEntry;
 use sapphirewalk_core::job_registry::JobState;
@@ -357,6 +359,75 @@
     }
 }
 
+/// The entry of a worker with room for everything, which answers nothing.
+fn endless_listing() -> WorkerListing {
+    WorkerListing {
+        capacity: ResourceVector {
+            cpu_millis: u64::MAX,
+            memory_mib: u64::MAX,
+            accelerators: u64::MAX,
+        },
+        domain: "elsewhere".to_owned(),
+        ..listing(99)
+    }
+}
+
+/// A job with one step of long tasks of one core each.
+fn wide_record(id: u64, count: u16, best_effort: bool, now: TimePoint) -> JobRecord {
+    let mut step = simulation::step(count, 1_000, 600_000, &[]);
+    step.best_effort = best_effort;
+    JobRecord {
+        spec: JobSpec {
+            spec: "text".to_owned(),
+            steps: vec![step],
+            schedule: None,
+        },
+        ..record(id, now)
+    }
+}
+
+/// Guards against best-effort work that is squeezed onto full workers, because a worker that has
+/// never answered makes its pool look empty.
+#[test]
+fn a_worker_that_never_answered_draws_no_tasks_and_is_no_free_room() {
+    let mut now = TimePoint::from_millis(START_MS);
+    let mut coordinator = new_coordinator(1, now);
+    let mut listings: Vec<WorkerListing> = (0..WORKERS).map(listing).collect();
+    listings.push(endless_listing());
+    coordinator.set_workers(listings, now);
+    let cores = WORKERS * 16;
+    coordinator.handle(Event::Stored(wide_record(1, cores, false, now)), now);
+    let mut runs = Vec::new();
+    run_answered(&mut coordinator, "w99", &mut runs, &mut now, 200);
+    assert_eq!(runs.len(), usize::from(cores));
+    assert!(runs.iter().all(|(worker, _)| worker != "w99"));
+    coordinator.handle(Event::Stored(wide_record(2, 1, true, now)), now);
+    run_answered(&mut coordinator, "w99", &mut runs, &mut now, 200);
+    assert_eq!(runs.len(), usize::from(cores));
+}
+
+/// Guards against jobs that are accepted while no worker may run them.
+#[test]
+fn a_worker_that_never_answered_is_no_domain_left_to_run_in() {
+    let mut now = TimePoint::from_millis(START_MS);
+    let mut coordinator = new_coordinator(1, now);
+    let mut listings: Vec<WorkerListing> = (0..WORKERS).map(listing).collect();
+    listings.push(endless_listing());
+    coordinator.set_workers(listings, now);
+    run_answered(&mut coordinator, "w99", &mut Vec::new(), &mut now, 100);
+    let request = EvacuationRequest {
+        domain: "domain".to_owned(),
+        version: 1,
+        seen_at: now,
+    };
+    let view = EvacuationView {
+        requests: vec![request],
+        read_at: now,
+    };
+    coordinator.set_evacuations(&view, now);
+    assert!(coordinator.is_wholly_evacuated());
+}
+
 #[test]
 fn absurd_jobs_and_entries_end_no_coordinator() {
     for seed in 0..60 {
