--- a/sapphirewalk/src/entry/driver.rs
+++ b/sapphirewalk/src/entry/driver.rs
@@ -31,13 +31,13 @@
 use crate::entry::election::LeaderConflict;
 use crate::entry::load::LeaderWork;
 use crate::entry::load::LoadMeter;
+use crate::entry::log;
 use crate::entry::node::EntryNode;
 use crate::entry::node::LeaderHandle;
 use crate::entry::peer;
 use crate::entry::records;
 use crate::entry::records::JobRow;
 use crate::entry::records::LeaderRow;
-use crate::entry::records::RecordSet;
 use crate::entry::rules;
 
 /// Timeout for writing a batch. The transaction takes 5 ms, with its answer 9 ms, or up to 60 times
@@ -98,7 +98,7 @@
     let Ok(set) = read else {
         return release_unused(node, row, version).await;
     };
-    log_unreadable(node, &set);
+    log_unreadable(node, &set.unreadable, set.unnamed);
     let (jobs, feed_from) = (set.records, set.version);
     let now = node.now();
     let limits = node.settings.coordinator_limits();
@@ -185,6 +185,7 @@
     }
     let lost = driver.lost.get();
     *node.leadership.borrow_mut() = None;
+    node.metrics.unreadable_workers.set(0);
     slog::info!(node.log, "leadership_released"; "fence" => fence, "lost" => lost);
     if !lost {
         release_leadership(&driver, tasks).await;
@@ -211,9 +212,10 @@
 
 /// Reports rows that can't be decoded. An operator has to act on them, because the jobs in them
 /// never run.
-fn log_unreadable(node: &EntryNode, set: &RecordSet) {
-    if !set.unreadable.is_empty() {
-        slog::error!(node.log, "records_unreadable"; "rows" => set.unreadable.join(","));
+fn log_unreadable(node: &EntryNode, keys: &[String], unnamed: usize) {
+    if !keys.is_empty() || unnamed > 0 {
+        slog::error!(node.log, "records_unreadable"; "rows" => log::show_keys(keys),
+            "unnamed" => unnamed);
     }
 }
 
@@ -460,7 +462,7 @@
 /// Reads the platform's worker list at a fixed interval.
 async fn list_workers(driver: rc::Rc<LeaderDriver>) {
     let node = &driver.node;
-    let mut unreadable: Vec<String> = Vec::new();
+    let mut odd_rows = (Vec::new(), 0);
     let mut last_listings: Vec<WorkerListing> = Vec::new();
     let mut failed_at: Option<tokio::time::Instant> = None;
     loop {
@@ -472,11 +474,15 @@
         if let Ok(page) = read {
             let WorkerList {
                 mut listings,
-                unreadable: now_unreadable,
+                unreadable,
             } = discovery::parse_worker_list(&page.rows);
-            if now_unreadable != unreadable {
-                slog::warn!(node.log, "workers_unreadable"; "rows" => now_unreadable.join(","));
-                unreadable = now_unreadable;
+            let now_odd = (unreadable, page.unnamed);
+            if now_odd != odd_rows {
+                let (keys, unnamed) = &now_odd;
+                slog::warn!(node.log, "workers_unreadable"; "rows" => log::show_keys(keys),
+                    "unnamed" => unnamed);
+                node.metrics.unreadable_workers.set(keys.len() + unnamed);
+                odd_rows = now_odd;
             }
             let in_grace = failed_at.is_some_and(|at| at.elapsed() < WORKER_LIST_GRACE);
             if in_grace {
@@ -513,13 +519,15 @@
         match outcome {
             Ok(FeedOutcome::Changes(page)) => {
                 version = version.max(page.version);
+                let mut unreadable = Vec::new();
                 for row in page.rows.iter().filter(|row| !row.deleted) {
                     match records::parse_job_row(row) {
                         Some(JobRow::Accepted(record)) => driver.send_event(Event::Stored(record)),
                         Some(JobRow::Cancelled(id)) => driver.send_event(Event::Cancelled(id)),
-                        None => slog::error!(node.log, "records_unreadable"; "rows" => &row.key),
+                        None => unreadable.push(row.key.clone()),
                     }
                 }
+                log_unreadable(node, &unreadable, page.unnamed);
             }
             Ok(FeedOutcome::Compacted) => {
                 slog::info!(node.log, "feed_forgotten"; "table" => records::JOB_TABLE,
@@ -530,7 +538,7 @@
                     tokio::time::sleep(STORE_RETRY_DELAY).await;
                     continue;
                 };
-                log_unreadable(node, &set);
+                log_unreadable(node, &set.unreadable, set.unnamed);
                 version = set.version;
                 let jobs = set.records;
                 for record in jobs.jobs {
--- a/sapphirewalk/src/entry/log.rs
+++ b/sapphirewalk/src/entry/log.rs
@@ -30,6 +30,23 @@
 /// Maximum number of chunks in one flush, so that a backlog doesn't delay other tasks.
 const CHUNKS_PER_FLUSH: usize = 16;
 
+/// Most keys of rows in one line.
+const MAX_SHOWN_KEYS: usize = 20;
+
+/// Keys of unreadable rows for a log line, and the number of those that are left out of it.
+pub fn show_keys(keys: &[String]) -> String {
+    let shown: Vec<String> = keys
+        .iter()
+        .take(MAX_SHOWN_KEYS)
+        .map(|key| key.escape_debug().to_string())
+        .collect();
+    let mut text = shown.join(",");
+    if keys.len() > MAX_SHOWN_KEYS {
+        text.push_str(&format!(",+{}", keys.len() - MAX_SHOWN_KEYS));
+    }
+    text
+}
+
 /// Lines that are queued for writing.
 #[derive(Debug, Default)]
 struct LineBuffer {
--- a/sapphirewalk/src/entry/metric.rs
+++ b/sapphirewalk/src/entry/metric.rs
@@ -86,6 +86,8 @@
         /// At the leader, tasks on workers in those domains. 0 in other
         /// processes.
         evacuated_tasks,
+        /// At the leader, entries of the worker list that name no worker to use.
+        unreadable_workers,
     }
     latencies {
         /// From receiving a submission to storing the job.
--- a/sapphirewalk/src/entry/records.rs
+++ b/sapphirewalk/src/entry/records.rs
@@ -95,6 +95,8 @@
     pub version: u64,
     /// Keys of rows that this version of the program can't decode.
     pub unreadable: Vec<String>,
+    /// Number of rows without a readable key.
+    pub unnamed: usize,
 }
 
 /// Location of the leader row.
@@ -282,6 +284,7 @@
         .map(|partition| store.read_partition(JOB_TABLE, partition, PART_READ_TIMEOUT));
     for page in future::try_join_all(reads).await? {
         set.version = set.version.min(page.version);
+        set.unnamed += page.unnamed;
         for row in &page.rows {
             match parse_job_row(row) {
                 Some(JobRow::Accepted(record)) => set.records.jobs.push(record),
@@ -293,6 +296,7 @@
     let page = store
         .read_partition(PROGRESS_TABLE, LEADER_PARTITION, PART_READ_TIMEOUT)
         .await?;
+    set.unnamed += page.unnamed;
     for row in &page.rows {
         match progress_row::decode(&row.value) {
             Some(progress) => set.records.progress.push(progress),
@@ -302,6 +306,7 @@
     let page = store
         .read_partition(LEADER_TABLE, LEADER_PARTITION, PART_READ_TIMEOUT)
         .await?;
+    set.unnamed += page.unnamed;
     for row in page.rows {
         let read = match row.key.as_str() {
             LEARNED_KEY => decode(&row.value).map(|learned| set.records.learned = learned),
--- a/sapphirewalk/tests/entry/evacuation_view.rs
+++ b/sapphirewalk/tests/entry/evacuation_view.rs
@@ -34,8 +34,8 @@
 fn page(version: u64, rows: Vec<StoredRow>) -> RowPage {
     RowPage {
         rows,
-        has_more: false,
         version,
+        ..RowPage::default()
     }
 }
 
