Show odd rows and absurd jobs against the processes that read them

The decoders' tests don't show what a process does with the rows that are left. Real processes now meet 60 drawn entries of workers, a worker that listens nowhere with more room than all others, one with endless room, one with the address of an entry VM, and rows without readable fields in the tables of workers, operators, jobs and progress. Jobs complete on the real workers, one that is listed later gets tasks, a configuration that comes later is in force, and a successor that reads the same rows goes on. A second test submits jobs with the largest numbers, a schedule of 4,294,967,295 due occurrences and bodies nested 50,000 deep, and kills the leader.

An unreadable configuration is logged once for each version of its row, not at each reading.

--- a/sapphirewalk/src/entry/node.rs
+++ b/sapphirewalk/src/entry/node.rs
@@ -52,6 +52,8 @@
     pub store: StoreClient,
     /// The rules in force. Version 0 means that none have been read yet.
     pub rules: cell::RefCell<rc::Rc<WorkRules>>,
+    /// Version of the last row with rules that could not be read; 0 before.
+    pub unreadable_rules: cell::Cell<u64>,
     /// The operators' requests to evacuate failure domains.
     pub evacuations: cell::RefCell<EvacuationTracker>,
     /// Notified when the rules in force or the evacuation requests change, or the requests are
@@ -84,6 +86,7 @@
             log,
             metrics: EntryMetrics::default(),
             rules: cell::RefCell::default(),
+            unreadable_rules: cell::Cell::default(),
             evacuations: cell::RefCell::default(),
             operator_changed: Notify::new(),
             leadership: cell::RefCell::new(None),
--- a/sapphirewalk/src/entry/rules.rs
+++ b/sapphirewalk/src/entry/rules.rs
@@ -7,6 +7,7 @@
 use sapphirewalk_platform::rules::OperatorKey;
 use sapphirewalk_platform::store;
 use sapphirewalk_platform::store::FeedOutcome;
+use sapphirewalk_platform::store::StoredRow;
 
 use crate::entry::evacuation::ViewChange;
 use crate::entry::node::EntryNode;
@@ -82,7 +83,7 @@
     node.record_store_outcome("read_rules", &read);
     let page = read.ok()?;
     for row in &page.rows {
-        apply_row(node, &row.key, &row.value);
+        apply_row(node, row);
     }
     let change = node
         .evacuations
@@ -103,7 +104,7 @@
     match outcome.ok()? {
         FeedOutcome::Changes(page) => {
             for row in page.rows.iter().filter(|row| !row.deleted) {
-                apply_row(node, &row.key, &row.value);
+                apply_row(node, row);
             }
             let change = node
                 .evacuations
@@ -154,11 +155,11 @@
     }
 }
 
-fn apply_row(node: &EntryNode, key: &str, value: &[u8]) {
-    if rules::parse_operator_key(key) != OperatorKey::Rules {
+fn apply_row(node: &EntryNode, row: &StoredRow) {
+    if rules::parse_operator_key(&row.key) != OperatorKey::Rules {
         return;
     }
-    match rules::parse_work_rules(value) {
+    match rules::parse_work_rules(&row.value) {
         Ok(rules) => {
             let previous = node.rules.borrow().version;
             if rules.version > previous {
@@ -169,7 +170,9 @@
             }
         }
         Err(error) => {
-            slog::error!(node.log, "rules_unreadable"; "error" => %error);
+            if node.unreadable_rules.replace(row.version) != row.version {
+                slog::error!(node.log, "rules_unreadable"; "error" => %error);
+            }
         }
     }
 }
--- a/sapphirewalk/tests/entry/main.rs
+++ b/sapphirewalk/tests/entry/main.rs
@@ -9,4 +9,7 @@
 mod fleet;
 mod jobs;
 mod log;
+mod odd_entries;
+#[path = "../../../platform/tests/odd/generator.rs"]
+mod odd_generator;
 mod store;
