Replace a leader row that can't be read

An unreadable leader row counted as absent. Each VM then tried to write a first row where there is one, and met a conflict: no VM led again until someone removed the row. A row with the largest fencing token could be read, and the next token overflowed.

A VM that reads such a row contends for it if it is unchanged after 0.7 s; a leader of another version of the program would have renewed it by then. The new fencing token is above the row's version in the store: each leadership begins with a transaction and adds one, so no former token is higher. The predecessor is unknown, so its leases are waited out in full.

Test: processes, a row of other bytes, an empty one and one with the largest token; before, the job that was running then wasn't done after 40 s.

--- a/sapphirewalk/src/entry/election.rs
+++ b/sapphirewalk/src/entry/election.rs
@@ -20,6 +20,8 @@
 /// A leader that doesn't answer counts as failed if its row stays unchanged for this long. A leader
 /// renews its row every 400 ms.
 const SUSPICION_TIMEOUT: time::Duration = time::Duration::from_millis(700);
+/// Highest fencing token of a leadership. Orders to workers carry it shifted by 16 bits.
+const HIGHEST_FENCE: u64 = 1 << 47;
 /// Timeout for reading the leader row.
 const ROW_TIMEOUT: time::Duration = time::Duration::from_millis(800);
 /// Timeout for writing the leader row to acquire the leadership.
@@ -32,6 +34,8 @@
 struct LeaderView {
     row: LeaderRow,
     version: u64,
+    /// The row can't be decoded, or its values can't be true. `row` then names no leader.
+    unreadable: bool,
 }
 
 /// Follows the current leader, and contends for the leadership when it is released or the leader
@@ -44,6 +48,7 @@
         };
         match view {
             None => contend(&node, None).await,
+            Some(view) if view.unreadable => replace_unreadable(&node, &view).await,
             Some(view) if view.row.released || view.row.incarnation == node.incarnation => {
                 contend(&node, Some(view)).await;
             }
@@ -52,6 +57,19 @@
     }
 }
 
+/// Contends for the leadership if the row stays unreadable and unchanged. A leader of another
+/// version of this program would renew it.
+async fn replace_unreadable(node: &rc::Rc<EntryNode>, view: &LeaderView) {
+    slog::error!(node.log, "leader_row_unreadable"; "version" => view.version);
+    tokio::time::sleep(SUSPICION_TIMEOUT).await;
+    let Ok(Some(current)) = read_view(node).await else {
+        return;
+    };
+    if current.version == view.version {
+        contend(node, Some(current)).await;
+    }
+}
+
 /// Follows the leader until the connection to it ends, then checks in the store whether it has
 /// failed. If so, contends for the leadership.
 async fn monitor_leader(node: &rc::Rc<EntryNode>, view: LeaderView) {
@@ -111,7 +129,8 @@
 /// leadership ends.
 async fn contend(node: &rc::Rc<EntryNode>, view: Option<LeaderView>) {
     let own_cpu = election_delay::cpu_millis(node.settings.cpu_share);
-    let holder_cpu = view.as_ref().map(|view| view.row.cpu_millis);
+    let holder = view.as_ref().filter(|view| !view.unreadable);
+    let holder_cpu = holder.map(|view| view.row.cpu_millis);
     let delay = election_delay::candidate_delay(&node.settings.vm, own_cpu, holder_cpu);
     tokio::time::sleep(delay.into()).await;
     if node.stopping.get() {
@@ -137,7 +156,8 @@
         Ok(ChangeOutcome::Applied(version)) => {
             slog::info!(node.log, "leadership_acquired"; "fence" => fence, "version" => version);
             node.metrics.leaderships_started.increment();
-            let predecessor = view.map(|view| view.row);
+            let holder = view.filter(|view| !view.unreadable);
+            let predecessor = holder.map(|view| view.row);
             driver::coordinate(node, row, version, requested_at, predecessor).await;
         }
         Ok(ChangeOutcome::Conflict(_)) => {}
@@ -151,16 +171,37 @@
         .read_row(&records::leader_location(), ROW_TIMEOUT)
         .await;
     node.record_store_outcome("read_leader", &read);
-    Ok(read?.as_ref().and_then(leader_view))
+    let view = |row| leader_view(row).unwrap_or_else(|| unreadable_view(node, row));
+    Ok(read?.as_ref().map(view))
 }
 
 fn leader_view(row: &StoredRow) -> Option<LeaderView> {
-    Some(LeaderView {
-        row: records::decode(&row.value)?,
+    let leader: LeaderRow = records::decode(&row.value)?;
+    (leader.fence <= HIGHEST_FENCE).then_some(LeaderView {
+        row: leader,
         version: row.version,
+        unreadable: false,
     })
 }
 
+/// Each leadership begins with a transaction of its own and adds one to the fencing token, so no
+/// token can be higher than the store's version.
+fn unreadable_view(node: &EntryNode, row: &StoredRow) -> LeaderView {
+    LeaderView {
+        row: LeaderRow {
+            vm: String::new(),
+            incarnation: 0,
+            fence: row.version,
+            address: node.settings.peer_address,
+            batch: 0,
+            released: false,
+            cpu_millis: 0,
+        },
+        version: row.version,
+        unreadable: true,
+    }
+}
+
 /// What a version conflict on the leader row means for the leader that wrote it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum LeaderConflict {
--- a/sapphirewalk/tests/entry/odd_entries.rs
+++ b/sapphirewalk/tests/entry/odd_entries.rs
@@ -145,3 +145,25 @@
     let log = fleet.entries[successor].log();
     assert!(!log.contains("leader_task_failed") && !log.contains("panicked"));
 }
+
+/// Guards against a fleet that never has a leader again.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_unreadable_leader_row_is_replaced() {
+    let fleet = EntryFleet::start("leader-row", 2).await;
+    // Version of the encoding, no name, incarnation 1, the largest fencing token, an IPv4 address,
+    // batch 0, released, no processor share.
+    let mut largest_fence = vec![1, 0, 1];
+    largest_fence.extend([0xff; 9]);
+    largest_fence.extend([1, 0, 127, 0, 0, 1, 9, 0, 1, 0]);
+    for (odd, id) in [b"odd".to_vec(), Vec::new(), largest_fence]
+        .into_iter()
+        .zip(930u64..)
+    {
+        assert_eq!(fleet.submit(0, id, 300, &[4, 1]).await, 200);
+        fleet.store.put_in("leader", "leader", "coordinator", odd);
+        for number in 0..2 {
+            fleet.until_state(number, id, "completed").await;
+        }
+    }
+    fleet.assert_no_duplicate_runs();
+}
