Show service tasks that wait for their next run

A task of a service failed and waited 9.4 s for its next run, while all that the log said was `step_waits`, for the step as a whole and only when its reason changed. Nothing told a restart from a first run, how long the task had been without a run, or how that had ended.

Each task keeps the end of the last run that a worker may have had, and its cause. Starts that are withheld or refused don't change it. `run_placed` says `waited=` and `after=`; `restart_waits` warns once a service task has waited for 3 s, half of what callers are guaranteed; `restart_wait_ms`, `waiting_restarts` and `longest_restart_wait_ms` are metrics.

The metric of waiting tasks left out the reason `leader_busy`.

Decisions are unchanged. Test: restarts_that_wait_for_long_are_counted_and_reported.

--- a/sapphirewalk/src/entry/driver.rs
+++ b/sapphirewalk/src/entry/driver.rs
@@ -6,6 +6,7 @@
 
 use futures::FutureExt;
 use sapphirewalk_core::coordinator::CommitBatch;
+use sapphirewalk_core::coordinator::DecisionLevel;
 use sapphirewalk_core::coordinator::DecisionRecord;
 use sapphirewalk_core::coordinator::Effect;
 use sapphirewalk_core::coordinator::Event;
@@ -350,11 +351,17 @@
 }
 
 fn log_decision(log: &slog::Logger, decision: &DecisionRecord) {
-    let DecisionRecord { event, job, detail } = decision;
+    let DecisionRecord {
+        level,
+        event,
+        job,
+        detail,
+    } = decision;
     let space = if detail.is_empty() { "" } else { " " };
-    match job {
-        Some(job) => slog::info!(log, "{} job={}{}{}", event, job, space, detail),
-        None => slog::info!(log, "{}{}{}", event, space, detail),
+    let job = job.map_or_else(String::new, |job| format!(" job={job}"));
+    match level {
+        DecisionLevel::Info => slog::info!(log, "{}{}{}{}", event, job, space, detail),
+        DecisionLevel::Warning => slog::warn!(log, "{}{}{}{}", event, job, space, detail),
     }
 }
 
@@ -454,6 +461,9 @@
             .metrics()
             .worker_total_busy_duration(0);
         let load = driver.coordinator.borrow_mut().take_load_report();
+        for wait in &load.restart_waits {
+            driver.node.metrics.restart_wait_ms.record(*wait);
+        }
         let line = driver.meter.report(busy, &load);
         slog::info!(driver.node.log, "leader_load {}", line);
     }
--- a/sapphirewalk/src/entry/metric.rs
+++ b/sapphirewalk/src/entry/metric.rs
@@ -100,6 +100,8 @@
         state_ms,
         /// From requesting the leadership to the point at which decisions can begin.
         takeover_ms,
+        /// At the leader, from the end of a run of a service task to the placement of the next one.
+        restart_wait_ms,
         /// How late the leader handled a timer; its other work waits as long.
         lag_ms,
     }
--- a/sapphirewalk/src/entry/mod.rs
+++ b/sapphirewalk/src/entry/mod.rs
@@ -194,6 +194,10 @@
                 "sapphirewalk_waiting_tasks{{reason=\"{reason}\"}} {count}"
             );
         }
+        let (restarts, longest) = leader.coordinator.borrow().waiting_restarts(node.now());
+        let _ = writeln!(text, "sapphirewalk_waiting_restarts {restarts}");
+        let longest_ms = longest.as_millis();
+        let _ = writeln!(text, "sapphirewalk_longest_restart_wait_ms {longest_ms}");
     }
     (StatusCode::OK, text)
 }
--- a/sapphirewalk_core/src/coordinator/crash.rs
+++ b/sapphirewalk_core/src/coordinator/crash.rs
@@ -89,7 +89,7 @@
     ) {
         let reports = self.crash_reports(worker, slots);
         for (slot, report) in slots.iter().zip(reports) {
-            let verdict = self.lose_run(*slot, worker, cause, report);
+            let verdict = self.lose_run(*slot, worker, cause, report, now);
             self.requeue_task(*slot, now, TimeSpan::ZERO);
             self.mark_dirty(slot.job);
             self.apply_verdict(*slot, verdict, now);
@@ -103,6 +103,7 @@
         worker: WorkerSlot,
         cause: LossCause,
         report: CrashReport,
+        now: TimePoint,
     ) -> CrashVerdict {
         let is_crash = self.is_crash(slot, worker, cause);
         let (Some(run), Some(task)) = (self.jobs.run_name(slot), self.jobs.task_mut(slot)) else {
@@ -113,6 +114,7 @@
         } else {
             CrashVerdict::Retry
         };
+        task.record_loss(now);
         let detail = format!(
             "run={run} worker={} was={:?} cause={} survived={} new_beside={} common={} \
              crashes={} blamed={}",
--- a/sapphirewalk_core/src/coordinator/event.rs
+++ b/sapphirewalk_core/src/coordinator/event.rs
@@ -269,9 +269,20 @@
     Log(DecisionRecord),
 }
 
+/// How a decision is logged.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum DecisionLevel {
+    /// As usual.
+    Info,
+    /// As a warning, which the log keeps before others.
+    Warning,
+}
+
 /// A decision and its reasons, for the log.
 #[derive(Clone, Debug)]
 pub struct DecisionRecord {
+    /// How it is logged.
+    pub level: DecisionLevel,
     /// Name of the log event.
     pub event: &'static str,
     /// Job that the decision concerns; `None` for decisions about workers or leadership.
--- a/sapphirewalk_core/src/coordinator/load_report.rs
+++ b/sapphirewalk_core/src/coordinator/load_report.rs
@@ -33,6 +33,9 @@
 pub struct LoadReport {
     /// Delays of runs; sorted by stage and priority.
     pub delays: Vec<StageDelay>,
+    /// Time from the end of a run of a service task to the placement of the next one, for each that
+    /// was placed.
+    pub restart_waits: Vec<TimeSpan>,
     /// Longest time between two answers of a worker to polls.
     pub longest_poll_gap: TimeSpan,
     /// Mean lag of the leader, recent samples weighing most.
--- a/sapphirewalk_core/src/coordinator/mod.rs
+++ b/sapphirewalk_core/src/coordinator/mod.rs
@@ -23,9 +23,11 @@
 mod recover;
 mod relocate;
 mod reserve;
+mod restart;
 mod stall;
 
 pub use event::CommitBatch;
+pub use event::DecisionLevel;
 pub use event::DecisionRecord;
 pub use event::Effect;
 pub use event::Event;
@@ -58,6 +60,7 @@
 use crate::job_spec::RunName;
 use crate::leader_lag::LagStep;
 use crate::leader_lag::LeaderLag;
+use crate::restart_queue::RestartQueue;
 use crate::room_forecast::RoomForecaster;
 use crate::room_reservation::ReservationBook;
 use crate::run_progress::RunProgress;
@@ -131,6 +134,7 @@
     preempted_at: TimePoint,
     overdue_share: OverdueShare,
     reservations: ReservationBook,
+    restarts: RestartQueue,
     forecaster: RoomForecaster,
     next_sweep: TimePoint,
     resends: Vec<commands::ResendEntry>,
@@ -192,6 +196,7 @@
             preempted_at: TimePoint::EPOCH,
             overdue_share: OverdueShare::default(),
             reservations: ReservationBook::default(),
+            restarts: RestartQueue::default(),
             forecaster: RoomForecaster::default(),
             next_sweep: now,
             resends: Vec::new(),
@@ -240,6 +245,7 @@
             let address_changed = entry.listing.address != listing.address;
             if entry.listing.draining != listing.draining || address_changed {
                 self.effects.push(Effect::Log(DecisionRecord {
+                    level: DecisionLevel::Info,
                     event: "worker_listed",
                     job: None,
                     detail: format!(
@@ -420,8 +426,26 @@
     }
 
     fn log(&mut self, event: &'static str, job: Option<JobId>, detail: String) {
-        self.effects
-            .push(Effect::Log(DecisionRecord { event, job, detail }));
+        self.log_at(DecisionLevel::Info, event, job, detail);
+    }
+
+    fn warn(&mut self, event: &'static str, job: Option<JobId>, detail: String) {
+        self.log_at(DecisionLevel::Warning, event, job, detail);
+    }
+
+    fn log_at(
+        &mut self,
+        level: DecisionLevel,
+        event: &'static str,
+        job: Option<JobId>,
+        detail: String,
+    ) {
+        self.effects.push(Effect::Log(DecisionRecord {
+            level,
+            event,
+            job,
+            detail,
+        }));
     }
 
     /// Whether a job has ended or is unknown.
@@ -603,6 +627,7 @@
             }
         }
         self.place_due = true;
+        self.await_restart(slot);
         self.clear_ended_job(slot.job);
     }
 
@@ -672,6 +697,7 @@
         self.expire_leases(now);
         self.resend_due(now);
         self.move_evacuated_tasks(now);
+        self.report_restarts(now);
         // Delays of waiting tasks and quarantines of workers may have ended.
         self.place_due = true;
     }
--- a/sapphirewalk_core/src/coordinator/place.rs
+++ b/sapphirewalk_core/src/coordinator/place.rs
@@ -644,6 +644,7 @@
         task.preempted = false;
         task.progress = RunProgress::default();
         task.pace = worker_registry::FULL_PACE;
+        let pause = task.pause;
         self.mark_dirty(slot.job);
         self.record_first_placed(waiting, now);
         let Some(run) = self.jobs.run_name(slot) else {
@@ -651,9 +652,13 @@
         };
         let entry = self.workers.get(worker);
         let free = entry.free();
+        let after = pause.map_or_else(String::new, |pause| {
+            let waited = now.since(pause.since);
+            format!(" waited={waited} after={}", pause.cause.as_str())
+        });
         let detail = format!(
             "run={run} worker={} outlook={:?} priority={} free_cpu={} free_mem={} heard_ago={} \
-             rules={}",
+             rules={}{after}",
             entry.listing.id,
             waiting.standing.outlook,
             waiting.standing.rank.priority,
@@ -663,6 +668,7 @@
             self.rules.version
         );
         self.log("run_placed", Some(run.task.job), detail);
+        self.end_restart_wait(slot, now);
     }
 
     /// Records when a task of a step is first placed.
--- a/sapphirewalk_core/src/coordinator/poll.rs
+++ b/sapphirewalk_core/src/coordinator/poll.rs
@@ -10,6 +10,7 @@
 use crate::coordinator::preempt;
 use crate::job_registry::JobSlot;
 use crate::job_registry::JobState;
+use crate::job_registry::PauseCause;
 use crate::job_registry::TaskPhase;
 use crate::job_registry::TaskSlot;
 use crate::job_spec::RunName;
@@ -330,10 +331,11 @@
             ),
         );
         self.mark_job_running(slot);
-        if !end.checkpoint.is_empty()
-            && let Some(task) = self.jobs.task_mut(slot)
-        {
-            task.checkpoint = end.checkpoint;
+        if let Some(task) = self.jobs.task_mut(slot) {
+            task.record_end(pause_cause(end.end), now);
+            if !end.checkpoint.is_empty() {
+                task.checkpoint = end.checkpoint;
+            }
         }
         match end.end {
             RunEnd::Done if !service => {
@@ -612,3 +614,14 @@
         }
     }
 }
+
+/// How a run ended, for the pause of its task.
+const fn pause_cause(end: RunEnd) -> PauseCause {
+    match end {
+        RunEnd::Done => PauseCause::Done,
+        RunEnd::Failed => PauseCause::Failed,
+        RunEnd::Stopped => PauseCause::Stopped,
+        RunEnd::Lapsed => PauseCause::Lapsed,
+        RunEnd::GangBroken | RunEnd::GangAlone => PauseCause::Gang,
+    }
+}
--- a/sapphirewalk_core/src/coordinator/recover.rs
+++ b/sapphirewalk_core/src/coordinator/recover.rs
@@ -76,7 +76,7 @@
             let found = progress.binary_search_by_key(&id, |row| row.id);
             let row = found.ok().map(|index| progress[index].clone());
             let placed = row.map_or_else(Vec::new, |row| {
-                job.restore(&row, |name| self.intern_worker(name))
+                job.restore(&row, |name| self.intern_worker(name), now)
             });
             if job.state.is_final() {
                 job.ended_at = now;
@@ -88,6 +88,7 @@
             let Ok(slot) = self.jobs.insert(job) else {
                 continue;
             };
+            self.await_job_restarts(slot);
             for (occurrence, task, worker) in placed {
                 let task = TaskSlot {
                     job: slot,
--- a/sapphirewalk_core/src/coordinator/reserve.rs
+++ b/sapphirewalk_core/src/coordinator/reserve.rs
@@ -47,7 +47,7 @@
 
 impl JobCoordinator {
     /// Number of tasks that wait for a worker, by [`WaitReason::ALL`], as of the last placement.
-    pub fn waiting_tasks(&self) -> [(WaitReason, usize); 5] {
+    pub fn waiting_tasks(&self) -> [(WaitReason, usize); WaitReason::ALL.len()] {
         let counts = self.reservations.waiting_tasks();
         std::array::from_fn(|index| (WaitReason::ALL[index], counts[index]))
     }
--- a/sapphirewalk_core/src/job_registry.rs
+++ b/sapphirewalk_core/src/job_registry.rs
@@ -88,6 +88,34 @@
     Done,
 }
 
+/// How the last run of a task ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum PauseCause {
+    /// It was done.
+    Done,
+    /// It failed.
+    Failed,
+    /// A stop order ended it.
+    Stopped,
+    /// Its lease ended.
+    Lapsed,
+    /// Its gang broke.
+    Gang,
+    /// Its end is unknown: its worker was lost or doesn't list it.
+    Lost,
+    /// It had ended before this coordinator took over.
+    Takeover,
+}
+
+/// Since when a task that has had a run is without one.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct RunPause {
+    /// End of the last run, or the takeover if that is unknown.
+    pub since: TimePoint,
+    /// How the last run ended.
+    pub cause: PauseCause,
+}
+
 /// Scheduling state of one task.
 #[derive(Clone, Debug, Default)]
 pub struct TaskEntry {
@@ -114,6 +142,9 @@
     pub confirmed_ms: u64,
     /// Earliest time of the next run.
     pub not_before: TimePoint,
+    /// End of the last run that a worker may have had; none before it. A start that is withheld or
+    /// refused doesn't change it.
+    pub pause: Option<RunPause>,
     /// Worker of the last run that failed, stalled, was refused or was evicted.
     pub avoided_worker: Option<WorkerSlot>,
     /// A start got no answer and the worker may still execute it. A list without the run then
@@ -264,6 +295,21 @@
     pub checkpoint: String,
 }
 
+impl PauseCause {
+    /// Name of the cause in logs.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Done => "done",
+            Self::Failed => "failed",
+            Self::Stopped => "stopped",
+            Self::Lapsed => "lapsed",
+            Self::Gang => "gang",
+            Self::Lost => "lost",
+            Self::Takeover => "takeover",
+        }
+    }
+}
+
 impl JobState {
     /// Whether the state never changes again.
     pub const fn is_final(self) -> bool {
@@ -299,6 +345,24 @@
         self.confirmed_ms = self.confirmed_ms.max(clock_ms);
     }
 
+    /// Records the end of the present run, which its worker has had.
+    pub const fn record_end(&mut self, cause: PauseCause, now: TimePoint) {
+        self.pause = Some(RunPause { since: now, cause });
+    }
+
+    /// Records the loss of the present run, which its worker may not have had.
+    pub fn record_loss(&mut self, now: TimePoint) {
+        let pause = RunPause {
+            since: now,
+            cause: PauseCause::Lost,
+        };
+        if self.begun_ms != 0 || self.phase == TaskPhase::Unverified {
+            self.pause = Some(pause);
+        } else {
+            self.pause.get_or_insert(pause);
+        }
+    }
+
     /// Records whether the last report of the present run showed it at work.
     pub fn record_work(&mut self, now: TimePoint) {
         self.at_work_since = if self.progress.percent() >= run_progress::DONE_PERCENT {
@@ -516,11 +580,13 @@
     }
 
     /// Restores the state from a stored row; `intern_worker` returns the slot of a worker.
-    /// Returns occurrence, task and worker of each run that may exist.
+    /// Returns occurrence, task and worker of each run that may exist. The others count as ended
+    /// `now`.
     pub fn restore(
         &mut self,
         progress: &JobProgress,
         mut intern_worker: impl FnMut(&str) -> WorkerSlot,
+        now: TimePoint,
     ) -> Vec<(u32, u32, WorkerSlot)> {
         self.state = progress.state;
         self.reported_state = progress.state;
@@ -561,6 +627,8 @@
                 task.worker = Some(*worker);
                 task.worker_born_ms = *born_ms;
                 placed.push((saved.occurrence, saved.task, *worker));
+            } else {
+                task.record_end(PauseCause::Takeover, now);
             }
         }
         placed
--- a/sapphirewalk_core/src/lib.rs
+++ b/sapphirewalk_core/src/lib.rs
@@ -58,6 +58,7 @@
 pub mod quota_share;
 pub mod request_outcome;
 pub mod resource;
+pub mod restart_queue;
 pub mod retry_budget;
 pub mod rollout_order;
 pub mod room_forecast;
--- a/sapphirewalk_core/tests/coordinator/main.rs
+++ b/sapphirewalk_core/tests/coordinator/main.rs
@@ -15,6 +15,7 @@
 mod overload;
 mod progress;
 mod repeated_stop;
+mod restarts;
 mod room;
 mod service_load;
 mod simulation;
--- a/sapphirewalk_core/tests/coordinator/simulation.rs
+++ b/sapphirewalk_core/tests/coordinator/simulation.rs
@@ -132,6 +132,8 @@
     pub slow_workers: Vec<(usize, u64, u64, f64)>,
     /// Share of runs that fail at their end.
     pub failing_runs: f64,
+    /// Service runs that fail: job, index of the task, time from which its present run fails.
+    pub failing_services: Vec<(u64, u16, u64)>,
     /// Jobs whose tasks take a multiple of their estimate: job, factor.
     pub wrong_estimates: Vec<(u64, f64)>,
     /// Factor of the run time of every thirtieth task, which is inherently long; 0 for none.
@@ -339,6 +341,10 @@
     pub service_warmup_ms: u64,
     /// Number of starts by task.
     pub starts: collections::BTreeMap<TaskName, u32>,
+    /// Time from the end of a run of a service task to the start of the next one, in milliseconds.
+    pub restart_waits: collections::BTreeMap<RunName, u64>,
+    /// End of the last run of each service task that has none, in milliseconds.
+    paused_services: collections::BTreeMap<TaskName, u64>,
     /// Time of the first start of each task, in milliseconds after the start of the simulation.
     pub first_starts: collections::BTreeMap<TaskName, u64>,
     /// Time from submission to completion by job, in milliseconds.
@@ -489,6 +495,8 @@
             withheld_lines: 0,
             service_warmup_ms: 0,
             starts: collections::BTreeMap::new(),
+            restart_waits: collections::BTreeMap::new(),
+            paused_services: collections::BTreeMap::new(),
             first_starts: collections::BTreeMap::new(),
             completed: collections::BTreeMap::new(),
             violations: Vec::new(),
@@ -628,6 +636,14 @@
             .sum()
     }
 
+    /// Longest time for which a task of a service was without a run after its first one, in
+    /// milliseconds; those that still wait count too.
+    pub fn longest_restart_ms(&self) -> u64 {
+        let ended = self.restart_waits.values().copied();
+        let waiting = self.paused_services.values().map(|at| self.now_ms - at);
+        ended.chain(waiting).max().unwrap_or(0)
+    }
+
     /// Number of a job's tasks that run on a worker now.
     pub fn running_tasks_on(&self, worker: usize, id: u64) -> usize {
         let runs = self.workers[worker].runs.iter();
@@ -640,7 +656,8 @@
         runs.filter(|run| run.name.task.job == JobId(id)).count()
     }
 
-    fn now(&self) -> TimePoint {
+    /// The simulated time.
+    pub fn now(&self) -> TimePoint {
         TimePoint::from_millis(self.now_ms)
     }
 
@@ -1465,6 +1482,9 @@
     fn check_start(&mut self, number: usize, run: RunName, spec: &JobSpec) {
         let task = run.task;
         *self.starts.entry(task).or_default() += 1;
+        if let Some(ended_ms) = self.paused_services.remove(&task) {
+            self.restart_waits.insert(run, self.now_ms - ended_ms);
+        }
         let elapsed_ms = self.now_ms - START_MS;
         self.first_starts.entry(task).or_insert(elapsed_ms);
         let elsewhere = self.workers.iter().enumerate().any(|(other, worker)| {
@@ -1706,6 +1726,9 @@
     fn crash(&mut self, number: usize) {
         // Unacknowledged ends are lost with the worker, so their tasks may run again.
         let worker = &mut self.workers[number];
+        for run in worker.runs.iter().filter(|run| run.service) {
+            self.paused_services.insert(run.name.task, self.now_ms);
+        }
         worker.is_up = false;
         worker.runs.clear();
         worker.ends.clear();
@@ -1729,6 +1752,9 @@
         self.lapsed_runs += worker.runs.len();
         let mut lapsed = Vec::new();
         for run in std::mem::take(&mut worker.runs) {
+            if run.service {
+                self.paused_services.insert(run.name.task, now_ms);
+            }
             worker.record_end(run.name, RunEnd::Lapsed);
             lapsed.push(run.name);
         }
@@ -1798,6 +1824,16 @@
             let slow_factor = slow_worker.map_or(1.0, |(.., share)| *share);
             let mut ended = Vec::new();
             for run in &mut worker.runs {
+                let task = run.name.task;
+                let failing = self.plan.failing_services.iter();
+                let failing = failing.clone().position(|(job, index, at)| {
+                    (JobId(*job), *index) == (task.job, task.index) && *at <= elapsed_ms
+                });
+                if let Some(failing) = failing.filter(|_| run.service && !run.stopping) {
+                    self.plan.failing_services.swap_remove(failing);
+                    ended.push((run.name, RunEnd::Failed));
+                    continue;
+                }
                 let rate = slow_factor
                     * if run.best_effort {
                         best_effort_rate * f64::from(run.pace) / 100.0
@@ -1829,6 +1865,10 @@
                         self.lost_work_ms += done_ms;
                     }
                 }
+                let mut runs = worker.runs.iter();
+                if runs.any(|run| run.name == name && run.service) {
+                    self.paused_services.insert(name.task, now_ms);
+                }
                 worker.runs.retain(|run| run.name != name);
                 worker.record_end(name, end);
                 match end {
