Place restarts of service tasks before other work

Service steps ranked behind all steps that end at the same priority, so each gap, that of the failed run first of all, went to urgent work until that ebbed.

Restarts now come first in each round, those first that have waited longest, also in rounds that leave out less urgent queues and beyond the limit of starts. While more than 8 wait, they get one start in a round, and no more room ahead of other work than that has got since: after the loss of a failure domain neither starves. First runs of services keep the rank of their step. A restart that has waited for 200 ms gets a reservation that binds all queues, also where reservations are off, so that a task larger than the gaps of urgent tasks is placed; at most 8. Restarts have two attempts to preempt of their own, and a failed one doesn't end those of the round.

Restarts are known from the end of the last run, which a start that is refused or withheld doesn't change, and from the attempts in the progress row after a takeover.

Not changed: patience for trials (a second), delays after a refused start, quarantines of workers.

Tests, bound 6 s of the rule; without this change they failed with - a_failed_service_task_is_back_beside_urgent_work_that_takes_each_gap: 22.0 s, at the end of the play - a_failed_service_task_of_a_less_urgent_queue_is_back_as_soon: 22.0 s - a_service_task_of_a_leaving_worker_is_back_although_no_gap_is_large_enough: 21.3 s - a_restart_that_waits_is_known_to_the_successor: 22.0 s - a_restart_preempts_bulk_tasks_beside_urgent_steps_that_fit_nowhere: 11.3 s - many_restarts_and_urgent_work_share_the_room: not back 6 s after the loss was found

--- a/sapphirewalk_core/src/coordinator/place.rs
+++ b/sapphirewalk_core/src/coordinator/place.rs
@@ -104,7 +104,7 @@
 
 /// Results that one round caches, so that later steps reuse them.
 #[derive(Debug, Default)]
-struct PlaceRound {
+pub(super) struct PlaceRound {
     /// Demands for which no worker had room.
     full_demands: Vec<FullDemand>,
     /// Unclaimed share of each pool, computed at its first use in the round.
@@ -112,6 +112,8 @@
     preemption: PreemptRound,
     /// Demands of which this round has placed tasks, best-effort ones excepted.
     placed_demands: Vec<(PoolKey, ResourceVector)>,
+    /// Processor time that this round has reserved for the tasks it placed.
+    placed_cpu_millis: u64,
 }
 
 /// A demand for which no worker of the pool had room. Best-effort tasks of other images may still
@@ -175,6 +177,21 @@
 }
 
 impl PlaceRound {
+    /// Processor time in thousandths of a core that the round has reserved for tasks so far.
+    pub(super) const fn placed_cpu_millis(&self) -> u64 {
+        self.placed_cpu_millis
+    }
+
+    /// Begins the part of the round that places restarts.
+    pub(super) const fn begin_restarts(&mut self) {
+        self.preemption.begin_restarts();
+    }
+
+    /// Ends that part.
+    pub(super) const fn end_restarts(&mut self) {
+        self.preemption.end_restarts();
+    }
+
     /// Why an equal or smaller demand has already found no room in this round, if so.
     fn known_full(&self, pool: PoolKey, step: &StepSpec, image: ImageKey) -> Option<WaitReason> {
         let demand = worker_registry::reserved_demand(step);
@@ -187,8 +204,12 @@
         found.map(|entry| entry.reason)
     }
 
-    /// Records that tasks of a step were placed.
-    fn record_placed(&mut self, pool: PoolKey, step: &StepSpec) {
+    /// Records that `count` tasks of a step were placed.
+    fn record_placed(&mut self, pool: PoolKey, step: &StepSpec, count: usize) {
+        let cpu_millis = worker_registry::reserved_demand(step).cpu_millis;
+        self.placed_cpu_millis = (count as u64)
+            .saturating_mul(cpu_millis)
+            .saturating_add(self.placed_cpu_millis);
         let entry = (pool, worker_registry::reserved_demand(step));
         if !step.best_effort && !self.placed_demands.contains(&entry) {
             self.placed_demands.push(entry);
@@ -225,14 +246,16 @@
         }
         let partial = now < self.next_full_place;
         self.place_was_partial = partial;
-        let mut waiting = self.waiting_steps(partial, now);
-        waiting.sort_unstable_by_key(|step| step.standing.rank);
         let mut round = PlaceRound {
             preemption: PreemptRound::since(self.preempted_at, now),
             ..PlaceRound::default()
         };
         self.review_reservations(now);
         self.reservations.begin_round();
+        self.place_restarts(&mut round, now);
+        let restarts_cpu_millis = round.placed_cpu_millis;
+        let mut waiting = self.waiting_steps(partial, now);
+        waiting.sort_unstable_by_key(|step| step.standing.rank);
         let mut allowance = self.start_pace.allowance(now);
         let as_due = self.place_overdue(&waiting, &mut allowance, &mut round, now);
         let mut placed = as_due;
@@ -245,6 +268,8 @@
                 self.record_wait(step, missing, now);
             }
         }
+        let others_cpu_millis = round.placed_cpu_millis - restarts_cpu_millis;
+        self.restarts.record_others(others_cpu_millis);
         self.overdue_share
             .record_round(placed, as_due, self.overdue_waits);
         self.end_round(&waiting, &round, partial, now);
@@ -257,6 +282,39 @@
         }
     }
 
+    /// Places up to `most` restarts of a step, regardless of the allowance of starts.
+    pub(super) fn place_restart(
+        &mut self,
+        key: StepKey,
+        most: usize,
+        round: &mut PlaceRound,
+        now: TimePoint,
+    ) {
+        let Some(job) = self.jobs.get(key.job) else {
+            return;
+        };
+        let Some(occurrence) = job.occurrence(key.occurrence) else {
+            return;
+        };
+        let standing = {
+            let rule = self.queue_rule(job);
+            job_order::standing(job, occurrence, key.step, &rule, now)
+        };
+        let step = WaitingStep {
+            standing,
+            job: key.job,
+            occurrence: key.occurrence,
+            step: key.step,
+            pool: job.pool_key,
+            ready: most,
+            deferrable: job.priority > self.top_priority,
+        };
+        let result = self.place_step(&step, Some(most), round, now);
+        if step.deferrable {
+            self.start_pace.record(result.placed);
+        }
+    }
+
     /// Like [`Self::place_step`], but within the `allowance` of starts if the step can wait.
     fn place_paced(
         &mut self,
@@ -324,6 +382,7 @@
             self.log("step_waits", job, detail);
         }
         self.end_unneeded_reservations(now);
+        self.reserve_restarts(now);
         if !partial && self.reservations.is_due(now) {
             let ranks = waiting.iter();
             let ranks: Vec<(StepKey, StepRank)> =
@@ -493,7 +552,7 @@
             missing: (missing > 0).then_some((missing, reason)),
         };
         if !placed.is_empty() {
-            round.record_placed(waiting.pool, step);
+            round.record_placed(waiting.pool, step, placed.len());
             self.trim_reservations(key, missing, now);
         }
         let gang_attempt = placed
@@ -607,14 +666,22 @@
         let tasks = step_tasks(job, occurrence, waiting.step);
         let first = job.first_tasks[usize::from(waiting.step)];
         let ready = tasks.iter().zip(first..);
-        ready
+        let mut ready: Vec<(&TaskEntry, u32)> = ready
             .filter(|(task, _)| task.phase == TaskPhase::Waiting && task.not_before <= now)
-            .map(|(_, task)| TaskSlot {
-                job: waiting.job,
-                occurrence: waiting.occurrence,
-                task,
-            })
-            .collect()
+            .collect();
+        if job.spec.steps[usize::from(waiting.step)].service {
+            // Restarts come before first runs, in the order of their wait.
+            ready.sort_by_key(|(task, _)| {
+                let since = task.pause.map(|pause| pause.since);
+                (since.is_none(), since)
+            });
+        }
+        let slots = ready.into_iter().map(|(_, task)| TaskSlot {
+            job: waiting.job,
+            occurrence: waiting.occurrence,
+            task,
+        });
+        slots.collect()
     }
 
     /// Assigns a task to a worker. The run is committed before its start is sent. `gang_attempt` is
--- a/sapphirewalk_core/src/coordinator/preempt.rs
+++ b/sapphirewalk_core/src/coordinator/preempt.rs
@@ -19,6 +19,10 @@
 
 /// Maximum number of steps for which one round makes room. Each scans all workers.
 const ROUND_STEPS: usize = 4;
+/// Maximum number of steps with restarts for which one round makes room. They don't count as
+/// [`ROUND_STEPS`], so that neither restarts nor urgent steps that can't be helped keep the others
+/// from an attempt.
+const RESTART_STEPS: usize = 2;
 /// Maximum number of tasks for which one round makes room. Spreading a burst over several rounds
 /// spares tasks that end in the meantime.
 const ROUND_TASKS: usize = 32;
@@ -39,6 +43,10 @@
     /// Number of steps for which this round has tried to make room. A failed attempt sets it to
     /// [`ROUND_STEPS`], which ends the attempts of the round.
     steps: usize,
+    /// The same for restarts, whose failed attempts don't end those of the round.
+    restart_steps: usize,
+    /// Whether restarts are being placed.
+    restarting: bool,
     /// Number of tasks for which this round has made room.
     tasks: usize,
 }
@@ -67,10 +75,35 @@
         let is_due = now >= last + ROUND_INTERVAL;
         Self {
             steps: if is_due { 0 } else { ROUND_STEPS },
+            restart_steps: if is_due { 0 } else { RESTART_STEPS },
             ..Self::default()
         }
     }
 
+    /// Counts the next attempts as those of restarts.
+    pub const fn begin_restarts(&mut self) {
+        self.restarting = true;
+    }
+
+    /// Counts the next attempts as those of other steps.
+    pub const fn end_restarts(&mut self) {
+        self.restarting = false;
+    }
+
+    /// Counts an attempt; false if the round allows none.
+    const fn begin_attempt(&mut self) -> bool {
+        let (steps, most) = if self.restarting {
+            (&mut self.restart_steps, RESTART_STEPS)
+        } else {
+            (&mut self.steps, ROUND_STEPS)
+        };
+        let allowed = *steps < most;
+        if allowed {
+            *steps += 1;
+        }
+        allowed
+    }
+
     fn reserved(&self, worker: WorkerSlot) -> ResourceVector {
         let found = self.reserved.iter().find(|(known, _)| *known == worker);
         found.map_or(ResourceVector::ZERO, |(_, room)| *room)
@@ -96,10 +129,9 @@
         now: TimePoint,
     ) {
         let missing = missing.min(ROUND_TASKS - round.tasks);
-        if round.steps >= ROUND_STEPS || missing == 0 {
+        if missing == 0 || !round.begin_attempt() {
             return;
         }
-        round.steps += 1;
         self.preempted_at = now;
         let demand = worker_registry::reserved_demand(request.step);
         let slots = self.workers.slots();
@@ -113,7 +145,7 @@
             })
             .collect();
         plans.sort_by(|one, other| one.loss.total_cmp(&other.loss));
-        if plans.len() < missing {
+        if plans.len() < missing && !round.restarting {
             // No worker can free enough for the other tasks; the next round tries again.
             round.steps = ROUND_STEPS;
         }
--- a/sapphirewalk_core/src/coordinator/reserve.rs
+++ b/sapphirewalk_core/src/coordinator/reserve.rs
@@ -39,10 +39,11 @@
 
 /// A step that may get reservations.
 #[derive(Clone, Copy, Debug)]
-struct ReserveCandidate {
-    share: ReservationShare,
-    priority: u32,
-    wait: StepWait,
+pub(super) struct ReserveCandidate {
+    pub(super) share: ReservationShare,
+    /// Steps of lower-numbered priorities may take the room.
+    pub(super) priority: u32,
+    pub(super) wait: StepWait,
 }
 
 impl JobCoordinator {
@@ -52,7 +53,7 @@
         std::array::from_fn(|index| (WaitReason::ALL[index], counts[index]))
     }
 
-    /// Makes no reservations from now on, for comparisons.
+    /// Makes no reservations from now on but those for restarts.
     pub fn disable_reservations(&mut self) {
         self.reservations.disable();
     }
@@ -242,7 +243,7 @@
 
     /// Reserves room for up to `wanted` tasks of a step on the workers that have it soonest, at most
     /// one more on each.
-    fn reserve_step(
+    pub(super) fn reserve_step(
         &mut self,
         step: &ReserveCandidate,
         wanted: usize,
--- a/sapphirewalk_core/src/coordinator/restart.rs
+++ b/sapphirewalk_core/src/coordinator/restart.rs
@@ -1,13 +1,131 @@
-//! Restarts: the next runs of service tasks whose last run has ended.
+//! Restarts: the next runs of service tasks whose last run has ended. They are placed first in each
+//! round, whatever the priority of their queue and the limit of starts.
 
 use crate::coordinator::JobCoordinator;
+use crate::coordinator::place::PlaceRound;
+use crate::coordinator::reserve::ReserveCandidate;
 use crate::job_registry::JobSlot;
 use crate::job_registry::TaskPhase;
 use crate::job_registry::TaskSlot;
+use crate::restart_queue;
+use crate::room_reservation;
+use crate::room_reservation::ReservationShare;
+use crate::room_reservation::StepKey;
 use crate::time::TimePoint;
 use crate::time::TimeSpan;
 
+/// Most steps whose restarts one round tries to place, since each may look at all workers.
+const ROUND_STEPS: usize = 16;
+/// Most steps for whose restarts one round reserves room.
+const RESERVE_STEPS: usize = 4;
+
+/// The restarts of one step that wait.
+#[derive(Clone, Copy, Debug)]
+struct RestartStep {
+    step: StepKey,
+    /// Number of tasks that may start now.
+    ready: usize,
+    /// End of the earliest last run.
+    since: TimePoint,
+}
+
 impl JobCoordinator {
+    /// Places restarts before other work, those first that have waited longest: all while few wait,
+    /// one in a round while they are ahead of their half of the room otherwise.
+    pub(super) fn place_restarts(&mut self, round: &mut PlaceRound, now: TimePoint) {
+        if self.restarts.waits().is_empty() {
+            return;
+        }
+        self.drop_ended_restarts();
+        let few = self.restarts.are_few();
+        round.begin_restarts();
+        for restart in self.restart_steps(now).into_iter().take(ROUND_STEPS) {
+            if !self.restarts.has_precedence() {
+                break;
+            }
+            let most = if few { restart.ready } else { 1 };
+            let before = round.placed_cpu_millis();
+            self.place_restart(restart.step, most, round, now);
+            let taken = round.placed_cpu_millis() - before;
+            self.restarts.record_restarts(taken);
+        }
+        round.end_restarts();
+    }
+
+    /// The steps with restarts that may start now, in the order of their longest wait.
+    fn restart_steps(&self, now: TimePoint) -> Vec<RestartStep> {
+        let mut steps: Vec<RestartStep> = Vec::new();
+        for wait in self.restarts.waits() {
+            let (Some(job), Some(task)) = (self.jobs.get(wait.task.job), self.jobs.task(wait.task))
+            else {
+                continue;
+            };
+            if task.not_before > now {
+                continue;
+            }
+            let step = StepKey {
+                job: wait.task.job,
+                occurrence: wait.task.occurrence,
+                step: job.step_of(wait.task.task),
+            };
+            // Tasks of a step are neighbours, since the waits are sorted.
+            match steps.last_mut().filter(|last| last.step == step) {
+                Some(last) => {
+                    last.ready += 1;
+                    last.since = last.since.min(wait.since);
+                }
+                None => steps.push(RestartStep {
+                    step,
+                    ready: 1,
+                    since: wait.since,
+                }),
+            }
+        }
+        steps.sort_by_key(|step| step.since);
+        steps
+    }
+
+    /// Reserves room for restarts for which no gap has been large enough, also where other steps get
+    /// no reservations: urgent tasks would take each part of a gap otherwise. Best-effort steps and gangs
+    /// get none, as in [`Self::reserve_rooms`].
+    pub(super) fn reserve_restarts(&mut self, now: TimePoint) {
+        let longest = self.restarts.longest_since();
+        if longest.is_none_or(|since| now.since(since) < room_reservation::MIN_WAIT)
+            || !self.restarts.begin_reserving(now)
+        {
+            return;
+        }
+        let steps = self.restart_steps(now);
+        let held = steps.iter();
+        let held: usize = held
+            .map(|restart| self.reservations.step_count(restart.step))
+            .sum();
+        let mut vacancies = restart_queue::FEW_RESTARTS.saturating_sub(held);
+        let steps = steps.into_iter().filter(|restart| {
+            let job = self.jobs.get(restart.step.job);
+            let step = job.map(|job| &job.spec.steps[usize::from(restart.step.step)]);
+            step.is_some_and(|step| !step.best_effort && !step.gang)
+        });
+        let steps: Vec<RestartStep> = steps.take(RESERVE_STEPS).collect();
+        for restart in steps {
+            let Some(wait) = self.reservations.wait(restart.step).copied() else {
+                continue;
+            };
+            let held = self.reservations.step_count(restart.step);
+            let wanted = restart.ready.saturating_sub(held).min(vacancies);
+            if now.since(restart.since) < room_reservation::MIN_WAIT || wanted == 0 {
+                continue;
+            }
+            let candidate = ReserveCandidate {
+                share: ReservationShare::InTime,
+                priority: self.top_priority,
+                wait,
+            };
+            self.reserve_step(&candidate, wanted, &mut Vec::new(), now);
+            vacancies -= wanted;
+        }
+    }
+
     /// Number of service tasks that wait for a restart, and the longest time for which one has.
     pub fn waiting_restarts(&self, now: TimePoint) -> (usize, TimeSpan) {
         let since = self.restarts.longest_since();
@@ -60,14 +178,19 @@
         }
     }
 
-    /// Forgets restarts of jobs that have ended, and warns of those that have waited for long.
-    pub(super) fn report_restarts(&mut self, now: TimePoint) {
+    /// Forgets restarts of jobs that have ended.
+    fn drop_ended_restarts(&mut self) {
         let jobs = &self.jobs;
         self.restarts.retain(|slot| {
             let is_open = jobs.get(slot.job).is_some_and(|job| !job.state.is_final());
             let task = jobs.task(slot);
             is_open && task.is_some_and(|task| task.phase == TaskPhase::Waiting)
         });
+    }
+
+    /// Warns of restarts that have waited for long.
+    pub(super) fn report_restarts(&mut self, now: TimePoint) {
+        self.drop_ended_restarts();
         for wait in self.restarts.take_reports(now) {
             let (Some(run), Some(step)) =
                 (self.jobs.run_name(wait.task), self.jobs.step(wait.task))
--- a/sapphirewalk_core/src/job_order.rs
+++ b/sapphirewalk_core/src/job_order.rs
@@ -2,6 +2,7 @@
 //!
 //! During a burst, work that can still meet its objective precedes work that can't. Then queue
 //! priority decides, then the size of the remaining work, then the latest start time.
+//! Restarts of service tasks precede this order, see [`crate::restart_queue`].
 //!
 //! Two rules bound the wait of work that misses its objective while the pool is full. A step that
 //! was partly placed in time keeps its rank: on the build farm an urgent step of 17 wide tasks got
--- a/sapphirewalk_core/src/restart_queue.rs
+++ b/sapphirewalk_core/src/restart_queue.rs
@@ -1,6 +1,9 @@
 //! The tasks of services that have had a run and wait for the next one.
 //!
 //! Users of a service lose a share of it for each task that is missing, whatever else the pool does.
+//! While few restarts wait, they precede all other work: most of these runs failed and left the very
+//! room that their successors need. After the loss of many workers the room is gone, so restarts and
+//! other work each get half of what becomes free.
 
 use crate::job_registry::TaskSlot;
 use crate::time::TimePoint;
@@ -10,6 +13,12 @@
 /// task of a service is back.
 const REPORT_WAIT: TimeSpan = TimeSpan::from_millis(3_000);
 
+/// Number of waiting restarts up to which all of them precede other work: about what two workers
+/// hold.
+pub const FEW_RESTARTS: usize = 8;
+/// Minimum interval between rounds that reserve room for restarts, since each looks at all workers.
+const RESERVE_INTERVAL: TimeSpan = TimeSpan::from_millis(50);
+
 /// A task of a service that waits for its next run.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct RestartWait {
@@ -25,6 +34,10 @@
 pub struct RestartQueue {
     /// Sorted by task.
     waits: Vec<RestartWait>,
+    /// Processor time in thousandths of a core that restarts have taken ahead of other work, less
+    /// what that has got since.
+    lead_cpu_millis: u64,
+    next_reserve: TimePoint,
 }
 
 impl RestartQueue {
@@ -50,6 +63,37 @@
         &self.waits
     }
 
+    /// Whether so few tasks wait that all of them precede other work.
+    pub const fn are_few(&self) -> bool {
+        self.waits.len() <= FEW_RESTARTS
+    }
+
+    /// Whether the next restart precedes other work.
+    pub const fn has_precedence(&self) -> bool {
+        self.are_few() || self.lead_cpu_millis == 0
+    }
+
+    /// Records room, in thousandths of a core, that restarts got ahead of other work.
+    pub const fn record_restarts(&mut self, cpu_millis: u64) {
+        if !self.are_few() {
+            self.lead_cpu_millis += cpu_millis;
+        }
+    }
+
+    /// Records room, in thousandths of a core, that other work got.
+    pub const fn record_others(&mut self, cpu_millis: u64) {
+        self.lead_cpu_millis = self.lead_cpu_millis.saturating_sub(cpu_millis);
+    }
+
+    /// Whether a round may reserve room now. It may not again for [`RESERVE_INTERVAL`].
+    pub fn begin_reserving(&mut self, now: TimePoint) -> bool {
+        let is_due = now >= self.next_reserve;
+        if is_due {
+            self.next_reserve = now + RESERVE_INTERVAL;
+        }
+        is_due
+    }
+
     /// When the last run of the task that has waited longest ended; `None` if no task waits.
     pub fn longest_since(&self) -> Option<TimePoint> {
         self.waits.iter().map(|wait| wait.since).min()
--- a/sapphirewalk_core/tests/coordinator/restarts.rs
+++ b/sapphirewalk_core/tests/coordinator/restarts.rs
@@ -1,4 +1,4 @@
-//! Restarts of service tasks on full pools.
+//! Restarts of service tasks on pools that urgent work fills.
 
 use sapphirewalk_core::job_spec::StepSpec;
 
@@ -6,8 +6,15 @@
 use crate::simulation::ClusterSimulation;
 use crate::simulation::FaultPlan;
 
+/// Time within which callers are guaranteed that a task of a service is back after its last run, in
+/// milliseconds.
+const BACK_WITHIN_MS: u64 = 6_000;
+/// Workers in the pools, of 16 cores.
+const WORKERS: usize = 10;
 /// Identifier of the service.
 const SERVICE: u64 = 90_000;
+/// When urgent tasks begin to arrive, and when they end, in milliseconds.
+const URGENT_MS: std::ops::Range<u64> = 2_000..30_000;
 
 /// A service step of tasks of `cpu_millis` thousandths of a core each.
 fn service_step(count: u16, cpu_millis: u64) -> StepSpec {
@@ -16,6 +23,185 @@
     step
 }
 
+/// A pool in which a service of a queue has tasks of 12 cores on `count` workers, and urgent tasks of
+/// 4 cores and 600 ms, 80 a second, press for the rest without end. Reservations are off.
+fn pressed_pool(seed: u64, queue: &str, count: u16, plan: FaultPlan) -> ClusterSimulation {
+    let mut simulation = ClusterSimulation::new(seed, WORKERS, plan);
+    simulation.without_reservations = true;
+    simulation.submit(500, SERVICE, queue, vec![service_step(count, 12_000)]);
+    for (id, at_ms) in (0..).zip(URGENT_MS.step_by(100)) {
+        let steps = vec![simulation::step(8, 4_000, 600, &[])];
+        simulation.submit(at_ms, id, "urgent", steps);
+    }
+    simulation
+}
+
+/// Plays a pressed pool in which two tasks of a service of `queue` fail.
+fn play_failures(seed: u64, queue: &str, lag_ms: u64) -> ClusterSimulation {
+    let plan = FaultPlan {
+        failing_services: vec![(SERVICE, 3, 8_000), (SERVICE, 7, 15_000)],
+        ..FaultPlan::default()
+    };
+    let mut simulation = pressed_pool(seed, queue, 10, plan);
+    simulation.leader_lag_ms = lag_ms;
+    simulation.run_until(URGENT_MS.end);
+    assert_eq!(simulation.violations, Vec::<String>::new());
+    simulation
+}
+
+/// Guards against a service task that waits until urgent work ebbs: each gap went to that.
+#[test]
+fn a_failed_service_task_is_back_beside_urgent_work_that_takes_each_gap() {
+    for seed in 0..3 {
+        let simulation = play_failures(seed, "service", 0);
+        let longest_ms = simulation.longest_restart_ms();
+        assert!(
+            longest_ms <= BACK_WITHIN_MS,
+            "seed {seed}: {longest_ms} ms without a run"
+        );
+        assert_eq!(simulation.restart_waits.len(), 2);
+    }
+}
+
+/// Guards against a service task of a less urgent queue that waits behind all more urgent queues, and
+/// for a leader that limits its starts.
+#[test]
+fn a_failed_service_task_of_a_less_urgent_queue_is_back_as_soon() {
+    for (seed, lag_ms) in [(0, 0), (1, 800)] {
+        let simulation = play_failures(seed, "bulk", lag_ms);
+        let longest_ms = simulation.longest_restart_ms();
+        assert!(
+            longest_ms <= BACK_WITHIN_MS,
+            "seed {seed}: {longest_ms} ms without a run"
+        );
+        assert_eq!(simulation.restart_waits.len(), 2);
+    }
+}
+
+/// Guards against a service task that is larger than each gap that urgent tasks leave.
+#[test]
+fn a_service_task_of_a_leaving_worker_is_back_although_no_gap_is_large_enough() {
+    for queue in ["service", "bulk"] {
+        let mut simulation = pressed_pool(5, queue, 9, FaultPlan::default());
+        simulation.run_until(8_000);
+        let worker = (0..WORKERS).find(|worker| simulation.running_tasks_on(*worker, SERVICE) == 1);
+        simulation.leaving_workers = vec![worker.unwrap()];
+        simulation.run_until(URGENT_MS.end);
+        assert_eq!(simulation.violations, Vec::<String>::new());
+        let longest_ms = simulation.longest_restart_ms();
+        assert!(
+            longest_ms <= BACK_WITHIN_MS,
+            "{queue}: {longest_ms} ms without a run"
+        );
+        assert_eq!(simulation.restart_waits.len(), 1);
+    }
+}
+
+/// Guards against urgent steps that nothing can make room for and that use up all attempts to preempt
+/// bulk tasks, so that a restart gets none.
+#[test]
+fn a_restart_preempts_bulk_tasks_beside_urgent_steps_that_fit_nowhere() {
+    let with_memory = |mut step: StepSpec, memory_mib: u64| {
+        step.demand.memory_mib = memory_mib;
+        vec![step]
+    };
+    let mut simulation = ClusterSimulation::new(8, WORKERS, FaultPlan::default());
+    simulation.without_reservations = true;
+    let service = with_memory(service_step(9, 1_000), 40_000);
+    simulation.submit(500, SERVICE, "service", service);
+    // One beside each task of the service, and two on the worker without any.
+    let bulk = with_memory(simulation::step(11, 1_000, 60_000, &[]), 24_000);
+    simulation.submit(2_000, SERVICE + 1, "bulk", bulk);
+    for id in 0..60 {
+        let urgent = with_memory(simulation::step(1, 1_000, 600, &[]), 65_000);
+        simulation.submit(4_000 + id * 300, id, "urgent", urgent);
+    }
+    simulation.run_until(8_000);
+    let worker = (0..WORKERS).find(|worker| simulation.running_tasks_on(*worker, SERVICE) == 1);
+    simulation.leaving_workers = vec![worker.unwrap()];
+    simulation.run_until(20_000);
+    assert_eq!(simulation.violations, Vec::<String>::new());
+    let longest_ms = simulation.longest_restart_ms();
+    assert!(
+        longest_ms <= BACK_WITHIN_MS,
+        "{longest_ms} ms without a run"
+    );
+    assert_eq!(simulation.restart_waits.len(), 1);
+}
+
+/// Guards against a successor that takes a restart for a first run.
+#[test]
+fn a_restart_that_waits_is_known_to_the_successor() {
+    let plan = FaultPlan {
+        failing_services: vec![(SERVICE, 3, 8_000)],
+        takeovers: vec![8_030],
+        ..FaultPlan::default()
+    };
+    let mut simulation = pressed_pool(6, "service", 10, plan);
+    simulation.run_until(8_200);
+    simulation.predecessor_ended();
+    simulation.run_until(URGENT_MS.end);
+    assert_eq!(simulation.violations, Vec::<String>::new());
+    let longest_ms = simulation.longest_restart_ms();
+    assert!(
+        longest_ms <= BACK_WITHIN_MS,
+        "{longest_ms} ms without a run"
+    );
+}
+
+/// Guards against restarts of a lost failure domain that keep urgent work waiting, or wait for it.
+#[test]
+fn many_restarts_and_urgent_work_share_the_room() {
+    // Worker 0 and every third after it are in domain 0, and don't come back.
+    let crashes = (0..30).step_by(simulation::DOMAINS);
+    let plan = FaultPlan {
+        crashes: crashes.map(|worker| (worker, 10_000, 90_000)).collect(),
+        ..FaultPlan::default()
+    };
+    let mut simulation = ClusterSimulation::new(7, 30, plan);
+    simulation.without_reservations = true;
+    let services: Vec<u64> = (SERVICE..SERVICE + 10).collect();
+    for id in &services {
+        simulation.submit(500, *id, "service", vec![service_step(8, 3_000)]);
+    }
+    for (id, at_ms) in (0..).zip(URGENT_MS.step_by(50)) {
+        let steps = vec![simulation::step(20, 2_000, 500, &[])];
+        simulation.submit(at_ms, id, "urgent", steps);
+    }
+    let urgent_starts = |simulation: &ClusterSimulation| {
+        let starts = (0..560).map(|id| simulation.start_count(id));
+        starts.sum::<u32>()
+    };
+    simulation.run_until(10_000);
+    let is_lost = |simulation: &ClusterSimulation| simulation.events.contains_key("run_lost");
+    let mut at_ms = 10_000;
+    while !is_lost(&simulation) {
+        at_ms += 100;
+        simulation.run_until(at_ms);
+    }
+    // Workers are found lost within a second of each other.
+    let lost_ms = at_ms + 1_000;
+    let running = |simulation: &ClusterSimulation| {
+        let running = services.iter().map(|id| simulation.running_tasks(*id));
+        running.sum::<usize>()
+    };
+    let mut starts = urgent_starts(&simulation);
+    while running(&simulation) < 80 && at_ms <= lost_ms + BACK_WITHIN_MS {
+        at_ms += 1_000;
+        simulation.run_until(at_ms);
+        let new_starts = urgent_starts(&simulation) - starts;
+        starts += new_starts;
+        // 80 cores beside the services take 40 tasks of 500 ms; half of that goes to urgent tasks.
+        assert!(
+            new_starts >= 40,
+            "{new_starts} urgent starts in 1 s to {at_ms} ms"
+        );
+    }
+    println!("lost at {lost_ms} ms, back at {at_ms} ms");
+    assert!(at_ms <= lost_ms + BACK_WITHIN_MS, "not back at {at_ms} ms");
+    assert_eq!(simulation.violations, Vec::<String>::new());
+}
+
 /// Guards against waits of service tasks that no line or metric shows, after a takeover too.
 #[test]
 fn restarts_that_wait_for_long_are_counted_and_reported() {
