Limit the quarantine of a worker to less than a service task may wait

Cause: a worker on which runs fail in a row gets no new tasks for 2.5 s, 5 s, then 10 s. A service task must be back 6 s after its last run, however full its pool is. In a full pool the only room for it may be on the worker where it failed, and there it waited for up to 10 s.

Ruled out: delays of the task itself; a failed run is placed again without a delay.

Evidence: found by reading, and shown by the test.

Change: the longest quarantine for failed runs is 5 s.

Test: a_service_task_that_fails_again_and_again_on_a_full_pool_is_back_within_6_s; it failed before with 10,104 ms without a run.

--- a/sapphirewalk_core/src/coordinator/poll.rs
+++ b/sapphirewalk_core/src/coordinator/poll.rs
@@ -40,8 +40,9 @@
 const FAILURE_LIMIT: u32 = 2;
 /// Duration of the first quarantine for failed runs; it doubles with each further failure.
 const FAILURE_QUARANTINE: TimeSpan = TimeSpan::from_millis(2_500);
-/// Longest quarantine for failed runs.
-const LONGEST_QUARANTINE: TimeSpan = TimeSpan::from_millis(10_000);
+/// Longest quarantine for failed runs. A service task must be back after 6 s, and in a full pool the
+/// only room for it may be on the worker where it failed.
+const LONGEST_QUARANTINE: TimeSpan = TimeSpan::from_millis(5_000);
 
 impl JobCoordinator {
     /// Polls the workers that are due, and extends their leases.
--- a/sapphirewalk_core/tests/coordinator/main.rs
+++ b/sapphirewalk_core/tests/coordinator/main.rs
@@ -18,4 +18,5 @@
 mod restarts;
 mod room;
 mod service_load;
+mod service_restarts;
 mod simulation;
