Forget failures of a worker's runs that are far apart

Cause: a worker's failed runs are counted since its last run that was done.

Ruled out: that the count is needed to find workers that fail all that they start. Their failures follow each other within the time for which one is remembered now.

Change: a failed run no longer counts 10 s after it.

Test: failures_of_service_tasks_far_apart_quarantine_no_worker; before, four failures 20 s apart quarantined the worker three times.

--- a/sapphirewalk_core/src/coordinator/poll.rs
+++ b/sapphirewalk_core/src/coordinator/poll.rs
@@ -38,6 +38,10 @@
 const REPLACED_SPAN: TimeSpan = TimeSpan::from_millis(1_500);
 /// Consecutive failed runs after which a worker is quarantined.
 const FAILURE_LIMIT: u32 = 2;
+/// Time after which a failed run no longer counts. A worker that runs nothing but services has no runs
+/// that are done, and each of its tasks may fail now and then. It exceeds [`LONGEST_QUARANTINE`], so
+/// that a worker on which everything fails is quarantined again at its next failure.
+const FAILURE_MEMORY: TimeSpan = TimeSpan::from_millis(10_000);
 /// Duration of the first quarantine for failed runs; it doubles with each further failure.
 const FAILURE_QUARANTINE: TimeSpan = TimeSpan::from_millis(2_500);
 /// Longest quarantine for failed runs. A service task must be back after 6 s, and in a full pool the
@@ -436,6 +440,10 @@
     /// once the queue's limit is reached; service tasks are retried without limit.
     fn fail_task(&mut self, slot: TaskSlot, worker: WorkerSlot, service: bool, now: TimePoint) {
         let entry = self.workers.get_mut(worker);
+        if now.since(entry.failed_at) > FAILURE_MEMORY {
+            entry.failures = 0;
+        }
+        entry.failed_at = now;
         entry.failures += 1;
         if entry.failures >= FAILURE_LIMIT {
             let doublings = (entry.failures - FAILURE_LIMIT).min(4);
--- a/sapphirewalk_core/src/worker_registry.rs
+++ b/sapphirewalk_core/src/worker_registry.rs
@@ -165,8 +165,10 @@
     pub recorded_silent: bool,
     /// The worker gets no new tasks before this time.
     pub quarantined_until: TimePoint,
-    /// Number of failed runs since the last run that was done.
+    /// Number of failed runs since the last run that was done, or since a time without failures.
     pub failures: u32,
+    /// When a run last failed there.
+    pub failed_at: TimePoint,
     /// The last runs that were done there, at most 8, oldest first.
     pub done_runs: Vec<DoneRun>,
     /// Measurements of the worker's tasks from its last answer.
@@ -253,6 +255,7 @@
             recorded_silent: false,
             quarantined_until: TimePoint::EPOCH,
             failures: 0,
+            failed_at: TimePoint::EPOCH,
             done_runs: Vec::new(),
             gauges: Vec::new(),
             sampled_at: TimePoint::EPOCH,
--- a/sapphirewalk_core/tests/coordinator/service_restarts.rs
+++ b/sapphirewalk_core/tests/coordinator/service_restarts.rs
@@ -42,3 +42,10 @@
     let gap_ms = simulation.longest_restart_ms();
     assert!(gap_ms < LONGEST_GAP_MS, "{gap_ms} ms without a run");
 }
+
+/// Guards against failures that are added up for as long as a worker runs nothing but services.
+#[test]
+fn failures_of_service_tasks_far_apart_quarantine_no_worker() {
+    let simulation = play_failures(&[12_000, 32_000, 52_000, 72_000]);
+    assert!(!simulation.events.contains_key("worker_quarantined"));
+}
