Reopen a worker beside slow tasks that are left to finish

Cause: a worker on which a task is slower than its siblings gets no new tasks for 2 s, renewed at each poll. A task that is slow on each worker is left to run after two restarts, and its worker stayed closed until its end, whatever that took. In a full pool a service task that had failed there waited as long.

Ruled out: workers that hang or are slow. Their tasks are stopped, which renews the quarantine as before.

Change: while all that crawls on a worker is left to finish, the quarantine is renewed for 2 s only, so it ends after 4 s and a poll.

--- a/sapphirewalk_core/src/coordinator/stall.rs
+++ b/sapphirewalk_core/src/coordinator/stall.rs
@@ -23,6 +23,9 @@
 
 /// Time for which a worker with stalled or slow tasks gets no new tasks.
 const STALL_QUARANTINE: TimeSpan = TimeSpan::from_millis(2_000);
+/// Time for which the quarantine is renewed while slow tasks are left to finish. They may take long,
+/// and service tasks must be back after 6 s, however full the pool is.
+const SLOW_RENEWAL_SPAN: TimeSpan = TimeSpan::from_millis(2_000);
 /// Speed limit in percent of full speed below which the progress of a best-effort task is not
 /// judged, since the limit may be what slows it.
 pub(super) const MIN_JUDGED_PACE: u32 = 50;
@@ -55,9 +58,12 @@
             .filter(|assessed| !self.is_inherently_long(worker, assessed))
             .collect();
         if assessed.is_empty() {
+            self.workers.get_mut(worker).slow_since = None;
             return;
         }
-        self.quarantine(worker, STALL_QUARANTINE, "tasks_crawl", now);
+        if !self.is_closed_for_long(worker, &assessed, now) {
+            self.quarantine(worker, STALL_QUARANTINE, "tasks_crawl", now);
+        }
         for assessment in assessed {
             match assessment.verdict {
                 ProgressVerdict::Normal | ProgressVerdict::Slow => {}
@@ -69,6 +75,25 @@
         }
     }
 
+    /// Whether a worker has been quarantined for long because of slow tasks, and those that crawl there
+    /// now are left to finish.
+    fn is_closed_for_long(
+        &mut self,
+        worker: WorkerSlot,
+        assessed: &[TaskAssessment],
+        now: TimePoint,
+    ) -> bool {
+        let mut verdicts = assessed.iter().map(|assessment| assessment.verdict);
+        let left_to_finish = verdicts.all(|verdict| verdict == ProgressVerdict::Slow);
+        let entry = self.workers.get_mut(worker);
+        if !left_to_finish {
+            entry.slow_since = None;
+            return false;
+        }
+        let since = *entry.slow_since.get_or_insert(now);
+        now.since(since) > SLOW_RENEWAL_SPAN
+    }
+
     /// Keeps a run that is done as evidence of its worker's speed.
     pub(super) fn record_done_run(&mut self, worker: WorkerSlot, slot: TaskSlot) {
         let Some(task) = self.jobs.task(slot) else {
--- a/sapphirewalk_core/src/worker_registry.rs
+++ b/sapphirewalk_core/src/worker_registry.rs
@@ -169,6 +169,8 @@
     pub failures: u32,
     /// When a run last failed there.
     pub failed_at: TimePoint,
+    /// Since when slow tasks are left to finish there, and no others crawl; none if there are none.
+    pub slow_since: Option<TimePoint>,
     /// The last runs that were done there, at most 8, oldest first.
     pub done_runs: Vec<DoneRun>,
     /// Measurements of the worker's tasks from its last answer.
@@ -256,6 +258,7 @@
             quarantined_until: TimePoint::EPOCH,
             failures: 0,
             failed_at: TimePoint::EPOCH,
+            slow_since: None,
             done_runs: Vec::new(),
             gauges: Vec::new(),
             sampled_at: TimePoint::EPOCH,
--- a/sapphirewalk_core/tests/coordinator/service_restarts.rs
+++ b/sapphirewalk_core/tests/coordinator/service_restarts.rs
@@ -49,3 +49,37 @@
     let simulation = play_failures(&[12_000, 32_000, 52_000, 72_000]);
     assert!(!simulation.events.contains_key("worker_quarantined"));
 }
+
+/// Guards against a worker that is closed for as long as an inherently long task runs there.
+#[test]
+fn a_service_task_beside_a_task_that_takes_long_is_back_within_6_s() {
+    /// Its first task is inherently long.
+    const BULK: u64 = 30;
+    let plan = FaultPlan {
+        long_factor: 15.0,
+        ..FaultPlan::default()
+    };
+    let workers = 4;
+    let mut simulation = ClusterSimulation::new(1, workers, plan);
+    let mut step = filling_step(workers);
+    step.count -= 4;
+    simulation.submit(500, 1, "service", vec![step]);
+    let bulk = simulation::step(4, 4_000, 3_000, &[]);
+    simulation.submit(2_000, BULK, "bulk", vec![bulk]);
+    simulation.run_until(20_000);
+    // The others are done, and services take their room.
+    let mut step = filling_step(1);
+    step.count = 3;
+    simulation.submit(20_000, 2, "service", vec![step]);
+    simulation.run_until(23_000);
+    let mut numbers = 0..workers;
+    let number = numbers.find(|number| simulation.running_tasks_on(*number, BULK) > 0);
+    simulation.fail_service_on(number.expect("the long task runs"));
+    simulation.run_until(23_000 + LONGEST_GAP_MS);
+    assert_eq!(simulation.violations, Vec::<String>::new());
+    assert_eq!(simulation.running_tasks(BULK), 1);
+    assert_eq!(
+        simulation.running_tasks(1) + simulation.running_tasks(2),
+        15
+    );
+}
--- a/sapphirewalk_core/tests/coordinator/simulation.rs
+++ b/sapphirewalk_core/tests/coordinator/simulation.rs
@@ -644,6 +644,16 @@
         ended.chain(waiting).max().unwrap_or(0)
     }
 
+    /// Lets a run of a service on a worker fail now.
+    pub fn fail_service_on(&mut self, number: usize) {
+        let worker = &mut self.workers[number];
+        let run = worker.runs.iter().find(|run| run.service);
+        let run = run.expect("a service runs there").name;
+        worker.runs.retain(|known| known.name != run);
+        worker.record_end(run, RunEnd::Failed);
+        self.paused_services.insert(run.task, self.now_ms);
+    }
+
     /// Number of a job's tasks that run on a worker now.
     pub fn running_tasks_on(&self, worker: usize, id: u64) -> usize {
         let runs = self.workers[worker].runs.iter();
