--- a/sapphirewalk_core/src/restart_queue.rs
+++ b/sapphirewalk_core/src/restart_queue.rs
@@ -85,7 +85,7 @@
         self.lead_cpu_millis = self.lead_cpu_millis.saturating_sub(cpu_millis);
     }
 
-    /// Whether a round may reserve room now. It may not again for [`RESERVE_INTERVAL`].
+    /// Whether a round may reserve room now. It may not again at once.
     pub fn begin_reserving(&mut self, now: TimePoint) -> bool {
         let is_due = now >= self.next_reserve;
         if is_due {
