Log what a takeover waits for and which writes of the leader row fail

leadership_loaded has the time to read, the time to restore and the connections turned away meanwhile; leader_load counts refused and unanswered writes of batches; leadership_contended has a candidate's delay and shares, leadership_unconfirmed an acquisition that was refused or not answered. A leadership in transition is logged once for each fencing token and VM.

--- a/sapphirewalk/src/entry/driver.rs
+++ b/sapphirewalk/src/entry/driver.rs
@@ -91,6 +91,7 @@
     predecessor: Option<LeaderRow>,
 ) {
     let acquired_at = node.now();
+    let turned_away_before = node.peers_turned_away.get();
     let (read, ()) = futures::join!(
         records::read_all(&node.store),
         rules::confirm_evacuations(node)
@@ -127,6 +128,9 @@
         coordinator: driver.coordinator.clone(),
         events,
     });
+    let turned_away = node.peers_turned_away.get() - turned_away_before;
+    slog::info!(node.log, "leadership_loaded"; "fence" => fence, "read" => %now.since(acquired_at),
+        "restore" => %node.now().since(now), "peers_turned_away" => turned_away);
     node.metrics
         .takeover_ms
         .record(node.now().since(requested_at));
@@ -385,6 +389,7 @@
         let change = records::leader_change(&row, driver.version.get(), Some(&batch));
         let outcome = node.store.change(&change, BATCH_TIMEOUT).await;
         node.record_store_outcome("record", &outcome);
+        driver.meter.record_write(&outcome);
         match outcome {
             Ok(ChangeOutcome::Applied(version)) => {
                 driver.version.set(version);
--- a/sapphirewalk/src/entry/election.rs
+++ b/sapphirewalk/src/entry/election.rs
@@ -1,5 +1,6 @@
 //! Leader election. One process at a time holds the leader row in the store.
 
+use std::cell;
 use std::rc;
 use std::time;
 
@@ -41,6 +42,7 @@
 /// Follows the current leader, and contends for the leadership when it is released or the leader
 /// fails, until the process shuts down.
 pub async fn run(node: rc::Rc<EntryNode>) {
+    let noted_fence = cell::Cell::new(0);
     while !node.stopping.get() {
         let Ok(view) = read_view(&node).await else {
             tokio::time::sleep(RETRY_DELAY).await;
@@ -52,7 +54,7 @@
             Some(view) if view.row.released || view.row.incarnation == node.incarnation => {
                 contend(&node, Some(view)).await;
             }
-            Some(view) => monitor_leader(&node, view).await,
+            Some(view) => monitor_leader(&node, view, &noted_fence).await,
         }
     }
 }
@@ -72,11 +74,17 @@
 
 /// Follows the leader until the connection to it ends, then checks in the store whether it has
 /// failed. If so, contends for the leadership.
-async fn monitor_leader(node: &rc::Rc<EntryNode>, view: LeaderView) {
+///
+/// `noted_fence` is the fencing token of the last leadership that was logged as in transition.
+async fn monitor_leader(node: &rc::Rc<EntryNode>, view: LeaderView, noted_fence: &cell::Cell<u64>) {
     let end = peer::follow_leader(node, view.row.address).await;
-    slog::info!(node.log, "leader_suspected"; "holder" => &view.row.vm, "fence" => view.row.fence,
-        "cause" => ?end);
-    match classify_end(end, view.row.incarnation) {
+    let status = classify_end(end, view.row.incarnation);
+    if status != LeaderStatus::InTransition || noted_fence.replace(view.row.fence) != view.row.fence
+    {
+        slog::info!(node.log, "leader_suspected"; "holder" => &view.row.vm,
+            "fence" => view.row.fence, "cause" => ?end);
+    }
+    match status {
         LeaderStatus::Ended => {
             let Ok(Some(current)) = read_view(node).await else {
                 return;
@@ -132,6 +140,8 @@
     let holder = view.as_ref().filter(|view| !view.unreadable);
     let holder_cpu = holder.map(|view| view.row.cpu_millis);
     let delay = election_delay::candidate_delay(&node.settings.vm, own_cpu, holder_cpu);
+    slog::info!(node.log, "leadership_contended"; "delay" => %delay, "own_cpu" => own_cpu,
+        "holder_cpu" => holder_cpu, "fence" => view.as_ref().map(|view| view.row.fence));
     tokio::time::sleep(delay.into()).await;
     if node.stopping.get() {
         return;
@@ -161,7 +171,11 @@
             driver::coordinate(node, row, version, requested_at, predecessor).await;
         }
         Ok(ChangeOutcome::Conflict(_)) => {}
-        Err(_) => tokio::time::sleep(RETRY_DELAY).await,
+        Err(error) => {
+            slog::warn!(node.log, "leadership_unconfirmed"; "fence" => fence, "error" => %error,
+                "after" => %node.now().since(requested_at));
+            tokio::time::sleep(RETRY_DELAY).await;
+        }
     }
 }
 
--- a/sapphirewalk/src/entry/load.rs
+++ b/sapphirewalk/src/entry/load.rs
@@ -9,6 +9,7 @@
 use futures::future;
 use sapphirewalk_core::coordinator::LoadReport;
 use sapphirewalk_core::coordinator::RunPhase;
+use sapphirewalk_platform::store::StoreError;
 
 /// A kind of work of the leader.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -74,6 +75,10 @@
     spans: [cell::Cell<time::Duration>; LeaderWork::COUNT],
     /// Busy time of the runtime at the last report.
     reported_busy: cell::Cell<time::Duration>,
+    /// Writes of batches that the store refused since the last report.
+    refused_writes: cell::Cell<u32>,
+    /// Writes of batches without an answer since the last report.
+    unanswered_writes: cell::Cell<u32>,
 }
 
 impl LoadMeter {
@@ -95,6 +100,16 @@
         .await
     }
 
+    /// Counts a write of a batch, if it failed.
+    pub fn record_write<T>(&self, outcome: &Result<T, StoreError>) {
+        let count = match outcome {
+            Ok(_) => return,
+            Err(StoreError::Unknown) => &self.unanswered_writes,
+            Err(StoreError::Refused | StoreError::Malformed(_)) => &self.refused_writes,
+        };
+        count.set(count.get() + 1);
+    }
+
     /// The fields of a log line: milliseconds for each kind of work since the last report, for
     /// everything that the process did (`busy`), and what waits in the coordinator. `busy` is the
     /// runtime's busy time since its start.
@@ -117,6 +132,15 @@
             load.unacknowledged_workers,
             load.longest_poll_gap
         );
+        for (name, count) in [
+            ("refused_writes", &self.refused_writes),
+            ("unanswered_writes", &self.unanswered_writes),
+        ] {
+            let count = count.take();
+            if count > 0 {
+                let _ = write!(line, " {name}={count}");
+            }
+        }
         for delay in &load.delays {
             let _ = write!(
                 line,
--- a/sapphirewalk/src/entry/node.rs
+++ b/sapphirewalk/src/entry/node.rs
@@ -63,6 +63,8 @@
     pub leadership: cell::RefCell<Option<LeaderHandle>>,
     /// The connection to the leader while another process leads and is connected.
     pub link: cell::RefCell<Option<rc::Rc<PeerLink>>>,
+    /// Number of connections of peers that were turned away because this process doesn't lead.
+    pub peers_turned_away: cell::Cell<u64>,
     /// Set when shutdown begins, and never cleared.
     pub stopping: cell::Cell<bool>,
     /// Notified when shutdown begins or the leadership is lost.
@@ -91,6 +93,7 @@
             operator_changed: Notify::new(),
             leadership: cell::RefCell::new(None),
             link: cell::RefCell::new(None),
+            peers_turned_away: cell::Cell::new(0),
             stopping: cell::Cell::new(false),
             stop_signal: Notify::new(),
             store_lost_at: cell::Cell::new(None),
--- a/sapphirewalk/src/entry/peer.rs
+++ b/sapphirewalk/src/entry/peer.rs
@@ -222,6 +222,7 @@
     let mut heartbeat = tokio::time::interval(HEARTBEAT_INTERVAL);
     loop {
         let Some(leader) = node.own_leadership() else {
+            node.peers_turned_away.set(node.peers_turned_away.get() + 1);
             let absent = PeerMessage::Absent {
                 incarnation: node.incarnation,
             };
