--- a/sapphirewalk/src/entry/election.rs
+++ b/sapphirewalk/src/entry/election.rs
@@ -1,10 +1,17 @@
 //! Leader election. One process at a time holds the leader row in the store.
 
-use std::cell;
 use std::rc;
 use std::time;
 
 use sapphirewalk_core::election_delay;
+use sapphirewalk_core::leader_election;
+use sapphirewalk_core::leader_election::ElectionInput;
+use sapphirewalk_core::leader_election::ElectionStep;
+use sapphirewalk_core::leader_election::LeaderElection;
+use sapphirewalk_core::leader_election::LeaderStatus;
+use sapphirewalk_core::leader_election::LinkEnd;
+use sapphirewalk_core::time::TimePoint;
+use sapphirewalk_core::time::TimeSpan;
 use sapphirewalk_platform::store::ChangeOutcome;
 use sapphirewalk_platform::store::StoreError;
 use sapphirewalk_platform::store::StoredRow;
@@ -12,23 +19,15 @@
 use crate::entry::driver;
 use crate::entry::node::EntryNode;
 use crate::entry::peer;
-use crate::entry::peer::LinkEnd;
 use crate::entry::records;
 use crate::entry::records::LeaderRow;
 
-/// Delay before a failed store call is retried.
-const RETRY_DELAY: time::Duration = time::Duration::from_millis(150);
-/// A leader that doesn't answer counts as failed if its row stays unchanged for this long. A leader
-/// renews its row every 400 ms.
-const SUSPICION_TIMEOUT: time::Duration = time::Duration::from_millis(700);
 /// Highest fencing token of a leadership. Orders to workers carry it shifted by 16 bits.
 const HIGHEST_FENCE: u64 = 1 << 47;
 /// Timeout for reading the leader row.
 const ROW_TIMEOUT: time::Duration = time::Duration::from_millis(800);
 /// Timeout for writing the leader row to acquire the leadership.
 const ACQUIRE_TIMEOUT: time::Duration = time::Duration::from_millis(1_000);
-/// Delay before the leader row is read again while its holder acquires or releases the leadership.
-const TRANSITION_DELAY: time::Duration = time::Duration::from_millis(30);
 
 /// The leader row at the store version at which it was read.
 #[derive(Clone, Debug)]
@@ -39,143 +38,155 @@
     unreadable: bool,
 }
 
-/// Follows the current leader, and contends for the leadership when it is released or the leader
-/// fails, until the process shuts down.
-pub async fn run(node: rc::Rc<EntryNode>) {
-    let noted_fence = cell::Cell::new(0);
-    while !node.stopping.get() {
-        let Ok(view) = read_view(&node).await else {
-            tokio::time::sleep(RETRY_DELAY).await;
-            continue;
-        };
-        match view {
-            None => contend(&node, None).await,
-            Some(view) if view.unreadable => replace_unreadable(&node, &view).await,
-            Some(view) if view.row.released || view.row.incarnation == node.incarnation => {
-                contend(&node, Some(view)).await;
-            }
-            Some(view) => monitor_leader(&node, view, &noted_fence).await,
+impl From<&LeaderView> for leader_election::LeaderView {
+    fn from(view: &LeaderView) -> Self {
+        Self {
+            incarnation: view.row.incarnation,
+            fence: view.row.fence,
+            batch: view.row.batch,
+            released: view.row.released,
+            cpu_millis: view.row.cpu_millis,
+            version: view.version,
+            unreadable: view.unreadable,
         }
     }
 }
 
-/// Contends for the leadership if the row stays unreadable and unchanged. A leader of another
-/// version of this program would renew it.
-async fn replace_unreadable(node: &rc::Rc<EntryNode>, view: &LeaderView) {
-    slog::error!(node.log, "leader_row_unreadable"; "version" => view.version);
-    tokio::time::sleep(SUSPICION_TIMEOUT).await;
-    let Ok(Some(current)) = read_view(node).await else {
-        return;
+/// One process's part in the election.
+struct ElectionDriver {
+    node: rc::Rc<EntryNode>,
+    election: LeaderElection,
+    cpu_millis: u64,
+    /// The leader row as last read.
+    view: Option<LeaderView>,
+    /// The leader row that was last written, and when the write was requested.
+    written: Option<(LeaderRow, TimePoint)>,
+    /// Fencing token of the last leadership that was logged as in transition.
+    noted_fence: Option<u64>,
+}
+
+/// Follows the current leader, and contends for the leadership when it is released or the leader
+/// fails, until the process shuts down.
+pub async fn run(node: rc::Rc<EntryNode>) {
+    let cpu_millis = election_delay::cpu_millis(node.settings.cpu_share);
+    let mut driver = ElectionDriver {
+        election: LeaderElection::new(&node.settings.vm, node.incarnation, cpu_millis),
+        node,
+        cpu_millis,
+        view: None,
+        written: None,
+        noted_fence: None,
     };
-    if current.version == view.version {
-        contend(node, Some(current)).await;
+    let mut input = ElectionInput::Begun;
+    while !driver.node.stopping.get() {
+        let step = driver.election.advance(input, driver.node.now());
+        input = driver.carry_out(step).await;
     }
 }
 
-/// Follows the leader until the connection to it ends, then checks in the store whether it has
-/// failed. If so, contends for the leadership.
-///
-/// `noted_fence` is the fencing token of the last leadership that was logged as in transition.
-async fn monitor_leader(node: &rc::Rc<EntryNode>, view: LeaderView, noted_fence: &cell::Cell<u64>) {
-    let end = peer::follow_leader(node, view.row.address).await;
-    let status = classify_end(end, view.row.incarnation);
-    if status != LeaderStatus::InTransition || noted_fence.replace(view.row.fence) != view.row.fence
-    {
-        slog::info!(node.log, "leader_suspected"; "holder" => &view.row.vm,
-            "fence" => view.row.fence, "cause" => ?end);
-    }
-    match status {
-        LeaderStatus::Ended => {
-            let Ok(Some(current)) = read_view(node).await else {
-                return;
-            };
-            if current.row.fence == view.row.fence {
-                contend(node, Some(current)).await;
+impl ElectionDriver {
+    async fn carry_out(&mut self, step: ElectionStep) -> ElectionInput {
+        match step {
+            ElectionStep::Read => self.read().await,
+            ElectionStep::Wait(span) => {
+                tokio::time::sleep(span.into()).await;
+                ElectionInput::Waited
             }
-        }
-        LeaderStatus::Suspected => {
-            let Ok(Some(before)) = read_view(node).await else {
-                tokio::time::sleep(RETRY_DELAY).await;
-                return;
-            };
-            tokio::time::sleep(SUSPICION_TIMEOUT).await;
-            let Ok(Some(after)) = read_view(node).await else {
-                return;
-            };
-            if after.version == before.version {
-                contend(node, Some(after)).await;
+            ElectionStep::AwaitTurn(delay) => {
+                let readable = self.view.as_ref().filter(|view| !view.unreadable);
+                let held = readable.map(|view| &view.row);
+                slog::info!(self.node.log, "leadership_contended"; "delay" => %delay,
+                    "own_cpu" => self.cpu_millis, "holder_cpu" => held.map(|row| row.cpu_millis),
+                    "fence" => held.map(|row| row.fence));
+                tokio::time::sleep(delay.into()).await;
+                ElectionInput::Waited
             }
+            ElectionStep::Follow { stale_after, .. } => self.follow(stale_after).await,
+            ElectionStep::Acquire { fence, version } => self.acquire(fence, version).await,
+            ElectionStep::Lead { fence, version } => self.lead(fence, version).await,
         }
-        LeaderStatus::InTransition => tokio::time::sleep(TRANSITION_DELAY).await,
     }
-}
 
-/// State of the leading process, derived from how the connection to it ended.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum LeaderStatus {
-    /// The process has ended.
-    Ended,
-    /// The process may have lost the store, or only its connection to this VM.
-    Suspected,
-    /// The process is acquiring or releasing the leadership. The leader row shows the result soon.
-    InTransition,
-}
+    async fn read(&mut self) -> ElectionInput {
+        let Ok(view) = read_view(&self.node).await else {
+            return ElectionInput::Unread;
+        };
+        let known_version = self.view.as_ref().map(|view| view.version);
+        if let Some(view) = view.as_ref().filter(|view| view.unreadable)
+            && known_version != Some(view.version)
+        {
+            slog::error!(self.node.log, "leader_row_unreadable"; "version" => view.version);
+        }
+        self.view = view;
+        ElectionInput::Row(self.view.as_ref().map(leader_election::LeaderView::from))
+    }
+
+    async fn follow(&mut self, stale_after: TimeSpan) -> ElectionInput {
+        let Some(LeaderView { row, .. }) = &self.view else {
+            return ElectionInput::Begun;
+        };
+        let end = peer::follow_leader(&self.node, row.address, stale_after).await;
+        self.note_end(end);
+        ElectionInput::Unlinked(end)
+    }
 
-/// Classifies the end of a connection to the leading process. `incarnation` is the one in the
-/// leader row.
-pub const fn classify_end(end: LinkEnd, incarnation: u64) -> LeaderStatus {
-    match end {
-        LinkEnd::Refused => LeaderStatus::Ended,
-        LinkEnd::Absent(other) if other != incarnation => LeaderStatus::Ended,
-        // If the process has ended, the next connection is refused.
-        LinkEnd::Absent(_) | LinkEnd::Broken => LeaderStatus::InTransition,
-        LinkEnd::Silent | LinkEnd::Stale => LeaderStatus::Suspected,
+    /// Logs why a connection to the leader ended, but only once for each leadership that is in
+    /// transition.
+    fn note_end(&mut self, end: LinkEnd) {
+        let Some(LeaderView { row, .. }) = &self.view else {
+            return;
+        };
+        let status = leader_election::classify_end(end, row.incarnation);
+        if status == LeaderStatus::InTransition
+            && self.noted_fence.replace(row.fence) == Some(row.fence)
+        {
+            return;
+        }
+        slog::info!(self.node.log, "leader_suspected"; "holder" => &row.vm, "fence" => row.fence,
+            "cause" => ?end);
     }
-}
 
-/// Tries to acquire the leadership after this VM's delay. If it succeeds, coordinates until the
-/// leadership ends.
-async fn contend(node: &rc::Rc<EntryNode>, view: Option<LeaderView>) {
-    let own_cpu = election_delay::cpu_millis(node.settings.cpu_share);
-    let holder = view.as_ref().filter(|view| !view.unreadable);
-    let holder_cpu = holder.map(|view| view.row.cpu_millis);
-    let delay = election_delay::candidate_delay(&node.settings.vm, own_cpu, holder_cpu);
-    slog::info!(node.log, "leadership_contended"; "delay" => %delay, "own_cpu" => own_cpu,
-        "holder_cpu" => holder_cpu, "fence" => view.as_ref().map(|view| view.row.fence));
-    tokio::time::sleep(delay.into()).await;
-    if node.stopping.get() {
-        return;
+    async fn acquire(&mut self, fence: u64, version: u64) -> ElectionInput {
+        let node = &self.node;
+        if node.stopping.get() {
+            return ElectionInput::Begun;
+        }
+        let row = LeaderRow {
+            vm: node.settings.vm.clone(),
+            incarnation: node.incarnation,
+            fence,
+            address: node.settings.peer_address,
+            batch: 0,
+            released: false,
+            cpu_millis: self.cpu_millis,
+        };
+        let requested_at = node.now();
+        let change = records::leader_change(&row, version, None);
+        self.written = Some((row, requested_at));
+        let outcome = node.store.change(&change, ACQUIRE_TIMEOUT).await;
+        node.record_store_outcome("acquire_leadership", &outcome);
+        if let Err(error) = &outcome {
+            slog::warn!(node.log, "leadership_unconfirmed"; "fence" => fence, "error" => %error,
+                "after" => %node.now().since(requested_at));
+        }
+        match outcome {
+            Ok(ChangeOutcome::Applied(version)) => ElectionInput::Acquired(version),
+            Ok(ChangeOutcome::Conflict(_)) => ElectionInput::Conflict,
+            Err(StoreError::Unknown) => ElectionInput::Unanswered,
+            Err(StoreError::Refused | StoreError::Malformed(_)) => ElectionInput::Refused,
+        }
     }
-    let (fence, version) = view
-        .as_ref()
-        .map_or((1, 0), |view| (view.row.fence + 1, view.version));
-    let row = LeaderRow {
-        vm: node.settings.vm.clone(),
-        incarnation: node.incarnation,
-        fence,
-        address: node.settings.peer_address,
-        batch: 0,
-        released: false,
-        cpu_millis: own_cpu,
-    };
-    let requested_at = node.now();
-    let change = records::leader_change(&row, version, None);
-    let outcome = node.store.change(&change, ACQUIRE_TIMEOUT).await;
-    node.record_store_outcome("acquire_leadership", &outcome);
-    match outcome {
-        Ok(ChangeOutcome::Applied(version)) => {
+
+    async fn lead(&mut self, fence: u64, version: u64) -> ElectionInput {
+        let node = &self.node;
+        if let Some((row, requested_at)) = self.written.take() {
             slog::info!(node.log, "leadership_acquired"; "fence" => fence, "version" => version);
             node.metrics.leaderships_started.increment();
-            let holder = view.filter(|view| !view.unreadable);
+            let holder = self.view.take().filter(|view| !view.unreadable);
             let predecessor = holder.map(|view| view.row);
             driver::coordinate(node, row, version, requested_at, predecessor).await;
         }
-        Ok(ChangeOutcome::Conflict(_)) => {}
-        Err(error) => {
-            slog::warn!(node.log, "leadership_unconfirmed"; "fence" => fence, "error" => %error,
-                "after" => %node.now().since(requested_at));
-            tokio::time::sleep(RETRY_DELAY).await;
-        }
+        ElectionInput::Begun
     }
 }
 
--- a/sapphirewalk/src/entry/peer.rs
+++ b/sapphirewalk/src/entry/peer.rs
@@ -15,6 +15,7 @@
 use sapphirewalk_core::job_registry::JobState;
 use sapphirewalk_core::job_spec::JobId;
 use sapphirewalk_core::job_spec::JobSpec;
+use sapphirewalk_core::leader_election::LinkEnd;
 use sapphirewalk_core::time::TimePoint;
 use sapphirewalk_core::time::TimeSpan;
 use serde::Deserialize;
@@ -100,25 +101,6 @@
     evacuated: collections::BTreeMap<u64, oneshot::Sender<bool>>,
 }
 
-/// Why a connection to the leader ended.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum LinkEnd {
-    /// Connecting failed. This counts as the end of the process at the address.
-    Refused,
-    /// The process at the address, in this incarnation, isn't the leader.
-    Absent(u64),
-    /// No message arrived within the timeout.
-    Silent,
-    /// The leader hasn't committed a batch for too long, so it has lost the store.
-    Stale,
-    /// The connection was closed, or carried a message that can't be decoded.
-    Broken,
-}
-
-/// A leader that hasn't committed a batch for this long has lost the store. It renews its row every
-/// 400 ms.
-const STALE_THRESHOLD: TimeSpan = TimeSpan::from_millis(1_600);
-
 impl PeerLink {
     /// Requests a job's state from the leader. `Ok(None)` if the leader doesn't list the job, an
     /// error if it doesn't answer.
@@ -311,8 +293,12 @@
 }
 
 /// Connects to the leader and provides the connection as `EntryNode::link` until it ends. Returns
-/// why it ended.
-pub async fn follow_leader(node: &EntryNode, address: net::SocketAddr) -> LinkEnd {
+/// why it ended. A heartbeat that gives the last committed batch an age over `stale_after` ends it.
+pub async fn follow_leader(
+    node: &EntryNode,
+    address: net::SocketAddr,
+    stale_after: TimeSpan,
+) -> LinkEnd {
     let connecting = TcpStream::connect(address);
     let stream = match tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
         Ok(Ok(stream)) => stream,
@@ -337,7 +323,7 @@
                     break LinkEnd::Broken;
                 };
                 received_at = tokio::time::Instant::now();
-                if let Some(end) = handle_message(&replies, &frame) {
+                if let Some(end) = handle_message(&replies, &frame, stale_after) {
                     break end;
                 }
             }
@@ -353,7 +339,11 @@
     end
 }
 
-fn handle_message(replies: &cell::RefCell<PendingReplies>, frame: &BytesMut) -> Option<LinkEnd> {
+fn handle_message(
+    replies: &cell::RefCell<PendingReplies>,
+    frame: &BytesMut,
+    stale_after: TimeSpan,
+) -> Option<LinkEnd> {
     match postcard::from_bytes::<PeerMessage>(frame) {
         Ok(PeerMessage::State { number, state }) => {
             if let Some(sender) = replies.borrow_mut().states.remove(&number) {
@@ -375,7 +365,7 @@
             None
         }
         Ok(PeerMessage::Beat { committed_ago, .. }) => {
-            (committed_ago > STALE_THRESHOLD).then_some(LinkEnd::Stale)
+            (committed_ago > stale_after).then_some(LinkEnd::Stale)
         }
         Ok(PeerMessage::Absent { incarnation }) => Some(LinkEnd::Absent(incarnation)),
         Err(_unreadable) => Some(LinkEnd::Broken),
--- a/sapphirewalk_core/src/lib.rs
+++ b/sapphirewalk_core/src/lib.rs
@@ -15,7 +15,8 @@
 //!   [`urgency`] and [`write_pace`].
 //! - Jobs, under the single leader of a deployment: [`config_check`], [`coordinator`],
 //!   [`crash_history`], [`demand_summary`], [`election_delay`], [`image_interference`], [`job_order`],
-//!   [`job_registry`], [`job_spec`], [`load_cycle`], [`load_trend`], [`maintenance_wave`],
+//!   [`job_registry`], [`job_spec`], [`leader_election`], [`load_cycle`], [`load_trend`],
+//!   [`maintenance_wave`],
 //!   [`progress_row`], [`room_forecast`], [`room_reservation`], [`unavailability_budget`],
 //!   [`work_rule`] and [`worker_registry`].
 //!
@@ -47,6 +48,7 @@
 pub mod job_spec;
 pub mod key;
 pub mod latency_histogram;
+pub mod leader_election;
 pub mod leader_lag;
 pub mod load_cycle;
 pub mod load_trend;
