Don't take a leader that loads the records for a failed one

Cause: a takeover was the cause of the next one. A small VM needs 1.1 to 1.4 s to read and restore the records (0.9 to 1.1 s of it to read); until then it wrote nothing and turned peers away, 320 to 660 connections. After 0.4 s without a connection they suspected it, and 0.7 s of an unchanged row were proof. A suspicion of one leader was even carried over to the next: the row was compared with the one read after the suspicion, whoever held it. Small VMs lost their handicap as soon as one of them held the row. Connections that a busy process refused counted as its end: 30 VMs had `Refused` of antigua-2, which led.

Change: a process that loads answers peers with Loading, the last variant of PeerMessage; they stay connected and answer callers from the rows until its first heartbeat. A process of the former version can't decode it and connects again, as now. A row without a batch may stay unchanged for 4 s. A suspicion holds for one fencing token. Delays compare a VM with the largest that it has seen lead; candidates read the row again before they write. Times grow with the time of the VM's own reads and with takeovers in the last 20 s; refused writes are repeated ever later, at times that depend on the VM. A process counts as ended after two refused connections, or five while it loads; as failed, if it holds the row for 4 s and doesn't lead.

--- a/sapphirewalk/src/entry/driver.rs
+++ b/sapphirewalk/src/entry/driver.rs
@@ -92,12 +92,14 @@
 ) {
     let acquired_at = node.now();
     let turned_away_before = node.peers_turned_away.get();
+    node.loading.set(Some(row.fence));
     let (read, ()) = futures::join!(
         records::read_all(&node.store),
         rules::confirm_evacuations(node)
     );
     node.record_store_outcome("read_records", &read);
     let Ok(set) = read else {
+        end_load(node);
         return release_unused(node, row, version).await;
     };
     log_unreadable(node, &set.unreadable, set.unnamed);
@@ -128,6 +130,7 @@
         coordinator: driver.coordinator.clone(),
         events,
     });
+    end_load(node);
     let turned_away = node.peers_turned_away.get() - turned_away_before;
     slog::info!(node.log, "leadership_loaded"; "fence" => fence, "read" => %now.since(acquired_at),
         "restore" => %node.now().since(now), "peers_turned_away" => turned_away);
@@ -224,6 +227,11 @@
     }
 }
 
+fn end_load(node: &EntryNode) {
+    node.loading.set(None);
+    node.load_ended.notify_waiters();
+}
+
 /// Releases a leadership in which nothing was done, because the records couldn't be read.
 async fn release_unused(node: &EntryNode, mut row: LeaderRow, version: u64) {
     row.released = true;
--- a/sapphirewalk/src/entry/election.rs
+++ b/sapphirewalk/src/entry/election.rs
@@ -125,7 +125,7 @@
         let Some(LeaderView { row, .. }) = &self.view else {
             return ElectionInput::Begun;
         };
-        let end = peer::follow_leader(&self.node, row.address, stale_after).await;
+        let end = peer::follow_leader(&self.node, row.address, row.incarnation, stale_after).await;
         self.note_end(end);
         ElectionInput::Unlinked(end)
     }
--- a/sapphirewalk/src/entry/node.rs
+++ b/sapphirewalk/src/entry/node.rs
@@ -63,6 +63,10 @@
     pub leadership: cell::RefCell<Option<LeaderHandle>>,
     /// The connection to the leader while another process leads and is connected.
     pub link: cell::RefCell<Option<rc::Rc<PeerLink>>>,
+    /// Fencing token of the leadership for which this process loads the records.
+    pub loading: cell::Cell<Option<u64>>,
+    /// Notified when this process has loaded the records, or can't.
+    pub load_ended: Notify,
     /// Number of connections of peers that were turned away because this process doesn't lead.
     pub peers_turned_away: cell::Cell<u64>,
     /// Set when shutdown begins, and never cleared.
@@ -93,6 +97,8 @@
             operator_changed: Notify::new(),
             leadership: cell::RefCell::new(None),
             link: cell::RefCell::new(None),
+            loading: cell::Cell::new(None),
+            load_ended: Notify::new(),
             peers_turned_away: cell::Cell::new(0),
             stopping: cell::Cell::new(false),
             stop_signal: Notify::new(),
--- a/sapphirewalk/src/entry/peer.rs
+++ b/sapphirewalk/src/entry/peer.rs
@@ -82,6 +82,22 @@
     Absent { incarnation: u64 },
     /// Answers whether all failure domains with workers are being evacuated.
     Evacuated { number: u64, all: bool },
+    /// Reports that this process has acquired the leadership and loads the records. A process of an
+    /// earlier version can't decode it and connects again.
+    Loading { incarnation: u64, fence: u64 },
+}
+
+/// What a message from the leader means for the connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum LinkStep {
+    /// The connection goes on as before.
+    Continue,
+    /// The leader answers requests.
+    Serving,
+    /// The leader doesn't answer requests yet.
+    Loading,
+    /// The connection ends.
+    End(LinkEnd),
 }
 
 /// Client side of a connection to the leader.
@@ -204,6 +220,12 @@
     let mut heartbeat = tokio::time::interval(HEARTBEAT_INTERVAL);
     loop {
         let Some(leader) = node.own_leadership() else {
+            if let Some(fence) = node.loading.get() {
+                if report_loading(node, &mut framed, fence, &mut heartbeat).await {
+                    continue;
+                }
+                return;
+            }
             node.peers_turned_away.set(node.peers_turned_away.get() + 1);
             let absent = PeerMessage::Absent {
                 incarnation: node.incarnation,
@@ -235,6 +257,32 @@
     }
 }
 
+/// Reports at each heartbeat that this process loads the records, until it has. False if the
+/// connection has ended.
+async fn report_loading(
+    node: &EntryNode,
+    framed: &mut Framed<TcpStream, LengthDelimitedCodec>,
+    fence: u64,
+    heartbeat: &mut tokio::time::Interval,
+) -> bool {
+    let loading = encode(&PeerMessage::Loading {
+        incarnation: node.incarnation,
+        fence,
+    });
+    tokio::select! {
+        // A peer sends no requests before the first heartbeat.
+        frame = framed.next() => matches!(frame, Some(Ok(_))),
+        () = node.load_ended.notified() => {
+            heartbeat.reset_immediately();
+            true
+        }
+        _ = heartbeat.tick() => {
+            let sending = framed.send(loading);
+            matches!(tokio::time::timeout(HEARTBEAT_TIMEOUT, sending).await, Ok(Ok(())))
+        }
+    }
+}
+
 fn answer(leader: &LeaderHandle, frame: &BytesMut) -> Option<PeerMessage> {
     match postcard::from_bytes::<PeerRequest>(frame) {
         Ok(PeerRequest::State { number, id }) => Some(PeerMessage::State {
@@ -287,16 +335,22 @@
         return false;
     };
     match postcard::from_bytes::<PeerMessage>(&frame) {
-        Ok(PeerMessage::Absent { incarnation: other }) => other != incarnation,
+        Ok(
+            PeerMessage::Absent { incarnation: other }
+            | PeerMessage::Loading {
+                incarnation: other, ..
+            },
+        ) => other != incarnation,
         Ok(_) | Err(_) => false,
     }
 }
 
-/// Connects to the leader and provides the connection as `EntryNode::link` until it ends. Returns
-/// why it ended. A heartbeat that gives the last committed batch an age over `stale_after` ends it.
+/// Connects to the leader and provides the connection as `EntryNode::link` while the leader answers
+/// requests. `incarnation` is the one that the leader row names. Returns why the connection ended. A heartbeat that gives the last committed batch an age over `stale_after` ends it.
 pub async fn follow_leader(
     node: &EntryNode,
     address: net::SocketAddr,
+    incarnation: u64,
     stale_after: TimeSpan,
 ) -> LinkEnd {
     let connecting = TcpStream::connect(address);
@@ -313,7 +367,6 @@
         replies: replies.clone(),
         next_number: cell::Cell::new(1),
     });
-    *node.link.borrow_mut() = Some(link);
     let mut framed = Framed::new(stream, LengthDelimitedCodec::new());
     let mut received_at = tokio::time::Instant::now();
     let end = loop {
@@ -323,8 +376,11 @@
                     break LinkEnd::Broken;
                 };
                 received_at = tokio::time::Instant::now();
-                if let Some(end) = handle_message(&replies, &frame, stale_after) {
-                    break end;
+                match handle_message(&replies, &frame, incarnation, stale_after) {
+                    LinkStep::Continue => {}
+                    LinkStep::Serving => *node.link.borrow_mut() = Some(link.clone()),
+                    LinkStep::Loading => *node.link.borrow_mut() = None,
+                    LinkStep::End(end) => break end,
                 }
             }
             Some(request) = requests.recv() => {
@@ -342,33 +398,46 @@
 fn handle_message(
     replies: &cell::RefCell<PendingReplies>,
     frame: &BytesMut,
+    incarnation: u64,
     stale_after: TimeSpan,
-) -> Option<LinkEnd> {
+) -> LinkStep {
     match postcard::from_bytes::<PeerMessage>(frame) {
         Ok(PeerMessage::State { number, state }) => {
             if let Some(sender) = replies.borrow_mut().states.remove(&number) {
                 // The request may have timed out.
                 let _sent = sender.send(state);
             }
-            None
+            LinkStep::Continue
         }
         Ok(PeerMessage::Pending { number, pending }) => {
             if let Some(sender) = replies.borrow_mut().pending.remove(&number) {
                 let _sent = sender.send(pending);
             }
-            None
+            LinkStep::Continue
         }
         Ok(PeerMessage::Evacuated { number, all }) => {
             if let Some(sender) = replies.borrow_mut().evacuated.remove(&number) {
                 let _sent = sender.send(all);
             }
-            None
+            LinkStep::Continue
         }
         Ok(PeerMessage::Beat { committed_ago, .. }) => {
-            (committed_ago > stale_after).then_some(LinkEnd::Stale)
+            if committed_ago > stale_after {
+                LinkStep::End(LinkEnd::Stale)
+            } else {
+                LinkStep::Serving
+            }
         }
-        Ok(PeerMessage::Absent { incarnation }) => Some(LinkEnd::Absent(incarnation)),
-        Err(_unreadable) => Some(LinkEnd::Broken),
+        Ok(PeerMessage::Loading {
+            incarnation: other, ..
+        }) if other == incarnation => LinkStep::Loading,
+        Ok(
+            PeerMessage::Absent { incarnation: other }
+            | PeerMessage::Loading {
+                incarnation: other, ..
+            },
+        ) => LinkStep::End(LinkEnd::Absent(other)),
+        Err(_unreadable) => LinkStep::End(LinkEnd::Broken),
     }
 }
 
--- a/sapphirewalk_core/src/leader_election.rs
+++ b/sapphirewalk_core/src/leader_election.rs
@@ -14,6 +14,29 @@
 /// A leader that doesn't answer counts as failed if its row stays unchanged for this long. A leader
 /// renews its row every 400 ms.
 const SUSPICION_TIMEOUT: TimeSpan = TimeSpan::from_millis(700);
+/// The same for a leader that has recorded no batch yet: it loads the records first, which takes
+/// seconds on a small VM.
+const LOAD_TIMEOUT: TimeSpan = TimeSpan::from_millis(4_000);
+/// A takeover this long ago still makes the next suspicion take longer.
+const TAKEOVER_MEMORY: TimeSpan = TimeSpan::from_secs(20);
+/// Most recent takeovers that count.
+const REMEMBERED_TAKEOVERS: usize = 3;
+/// Multiple of the time of a read by which a leader's writes may be late on a slow store.
+const SLOW_STORE_MARGIN: f64 = 4.0;
+/// Multiple of the time of a read that a small VM leaves to large ones on a slow store: they read
+/// the row twice and write it.
+const SMALL_VM_MARGIN: f64 = 6.0;
+/// Weight of the last estimate of the time of a read when a shorter read follows.
+const READ_SPAN_DECAY: f64 = 0.7;
+/// Refused connections in a row after which a process counts as ended. A process that is busy refuses
+/// some while it has more connections to accept than its listening socket queues.
+const REFUSALS_OF_ENDED: u32 = 2;
+/// The same for a process that loads the records, which keeps it busy.
+const REFUSALS_OF_LOADING: u32 = 5;
+/// A process that holds the row and doesn't lead counts as failed after this time.
+const TRANSITION_TIMEOUT: TimeSpan = TimeSpan::from_millis(4_000);
+/// Number of doublings of the delay after refused writes.
+const MOST_DOUBLINGS: u32 = 3;
 /// A leader that hasn't committed a batch for this long has lost the store.
 const STALE_THRESHOLD: TimeSpan = TimeSpan::from_millis(1_600);
 /// Delay before the leader row is read again while its holder acquires or releases the leadership.
@@ -132,8 +155,8 @@
     Following(LeaderView),
     /// Reads the row of a leader whose process has ended.
     Confirming(LeaderView),
-    /// Reads the row of a suspected leader.
-    Suspecting,
+    /// Reads the row of this leader, which is suspected.
+    Suspecting(LeaderView),
     /// Waits while this row should change: a leader renews its row, also one that writes it in a way
     /// that can't be decoded here.
     Observing(LeaderView),
@@ -141,6 +164,8 @@
     Comparing(LeaderView),
     /// Waits for its turn to replace this row.
     Delaying(Option<LeaderView>),
+    /// Reads the row before it is replaced.
+    Rechecking(Option<LeaderView>),
     /// Writes the row with this fencing token.
     Acquiring(u64),
     /// Leads.
@@ -154,6 +179,22 @@
     incarnation: u64,
     cpu_millis: u64,
     phase: ElectionPhase,
+    /// Largest share of a core of a VM that has led, or of this one, in thousandths.
+    largest_cpu: u64,
+    /// Highest fencing token seen.
+    known_fence: u64,
+    /// Times at which takeovers were seen, the oldest first.
+    takeovers: Vec<TimePoint>,
+    read_begun_at: TimePoint,
+    /// Estimated time of a read: the last one, or longer if those before took longer.
+    read_span: TimeSpan,
+    /// Writes refused in a row.
+    refusals: u32,
+    /// Fencing token of the last leadership whose process refused a connection, and how often in a
+    /// row it did.
+    refused_links: (u64, u32),
+    /// Version of the last row whose holder didn't lead, and when this was first seen.
+    transition: (u64, TimePoint),
 }
 
 /// Classifies the end of a connection to the leading process. `incarnation` is the one in the
@@ -177,29 +218,91 @@
             incarnation,
             cpu_millis,
             phase: ElectionPhase::default(),
+            largest_cpu: cpu_millis,
+            known_fence: 0,
+            takeovers: Vec::new(),
+            read_begun_at: TimePoint::EPOCH,
+            read_span: TimeSpan::ZERO,
+            refusals: 0,
+            refused_links: (0, 0),
+            transition: (0, TimePoint::EPOCH),
         }
     }
 
     /// Decides what the process does next, given what its last step led to. An input that doesn't
     /// answer the last step leads back to reading the row.
-    pub fn advance(&mut self, input: ElectionInput, _now: TimePoint) -> ElectionStep {
+    pub fn advance(&mut self, input: ElectionInput, now: TimePoint) -> ElectionStep {
+        self.observe(input, now);
+        let step = self.decide(input, now);
+        if step == ElectionStep::Read {
+            self.read_begun_at = now;
+        }
+        step
+    }
+
+    fn observe(&mut self, input: ElectionInput, now: TimePoint) {
+        match input {
+            ElectionInput::Row(row) => {
+                self.observe_read(now);
+                if let Some(row) = row.filter(|row| !row.unreadable) {
+                    self.observe_row(row, now);
+                }
+            }
+            ElectionInput::Unread => self.observe_read(now),
+            ElectionInput::Refused => self.refusals += 1,
+            ElectionInput::Acquired(_) | ElectionInput::Conflict => self.refusals = 0,
+            ElectionInput::Begun
+            | ElectionInput::Waited
+            | ElectionInput::Unlinked(_)
+            | ElectionInput::Unanswered => {}
+        }
+    }
+
+    fn observe_read(&mut self, now: TimePoint) {
+        let took = now.since(self.read_begun_at);
+        self.read_span = took.max(self.read_span.scale(READ_SPAN_DECAY));
+    }
+
+    fn observe_row(&mut self, row: LeaderView, now: TimePoint) {
+        self.largest_cpu = self.largest_cpu.max(row.cpu_millis);
+        if row.fence > self.known_fence {
+            if self.known_fence > 0 {
+                self.takeovers.push(now);
+            }
+            self.known_fence = row.fence;
+        }
+        self.takeovers.retain(|at| now.since(*at) < TAKEOVER_MEMORY);
+        let surplus = self.takeovers.len().saturating_sub(REMEMBERED_TAKEOVERS);
+        self.takeovers.drain(..surplus);
+    }
+
+    fn decide(&mut self, input: ElectionInput, now: TimePoint) -> ElectionStep {
         match (self.phase, input) {
             (ElectionPhase::Looking, ElectionInput::Row(row)) => self.choose(row),
-            (ElectionPhase::Looking | ElectionPhase::Suspecting, ElectionInput::Unread)
-            | (ElectionPhase::Acquiring(_), ElectionInput::Refused | ElectionInput::Unanswered) => {
-                self.pause(RETRY_DELAY)
+            (
+                ElectionPhase::Looking
+                | ElectionPhase::Suspecting(_)
+                | ElectionPhase::Rechecking(_),
+                ElectionInput::Unread,
+            ) => self.pause(RETRY_DELAY),
+            (ElectionPhase::Acquiring(_), ElectionInput::Refused) => {
+                let doublings = self.refusals.saturating_sub(1).min(MOST_DOUBLINGS);
+                let spread = election_delay::name_delay(&self.vm);
+                self.pause(RETRY_DELAY.scale(f64::from(1u32 << doublings)) + spread)
             }
             (ElectionPhase::Following(holder), ElectionInput::Unlinked(end)) => {
-                self.judge_end(holder, end)
+                self.judge_end(holder, end, now)
             }
             (ElectionPhase::Confirming(holder), ElectionInput::Row(Some(row)))
                 if row.fence == holder.fence =>
             {
                 self.contend(Some(row))
             }
-            (ElectionPhase::Suspecting, ElectionInput::Row(Some(row))) => {
+            (ElectionPhase::Suspecting(holder), ElectionInput::Row(Some(row)))
+                if row.fence == holder.fence =>
+            {
                 self.phase = ElectionPhase::Observing(row);
-                ElectionStep::Wait(SUSPICION_TIMEOUT)
+                ElectionStep::Wait(self.patience(row, now))
             }
             (ElectionPhase::Observing(row), ElectionInput::Waited) => {
                 self.phase = ElectionPhase::Comparing(row);
@@ -210,11 +313,19 @@
             {
                 self.contend(Some(row))
             }
-            (ElectionPhase::Delaying(row), ElectionInput::Waited) => self.acquire(row),
+            (ElectionPhase::Delaying(row), ElectionInput::Waited) => {
+                self.phase = ElectionPhase::Rechecking(row);
+                ElectionStep::Read
+            }
+            (ElectionPhase::Rechecking(before), ElectionInput::Row(row)) if row == before => {
+                self.acquire(row)
+            }
             (ElectionPhase::Acquiring(fence), ElectionInput::Acquired(version)) => {
                 self.phase = ElectionPhase::Leading;
                 ElectionStep::Lead { fence, version }
             }
+            // The row that has just been read names another leader than the one suspected.
+            (_, ElectionInput::Row(row)) => self.choose(row),
             _ => self.look(),
         }
     }
@@ -233,37 +344,87 @@
         match row {
             Some(row) if row.unreadable => {
                 self.phase = ElectionPhase::Observing(row);
-                ElectionStep::Wait(SUSPICION_TIMEOUT)
+                ElectionStep::Wait(SUSPICION_TIMEOUT + self.slow_store_span())
             }
             Some(holder) if !holder.released && holder.incarnation != self.incarnation => {
                 self.phase = ElectionPhase::Following(holder);
                 ElectionStep::Follow {
                     holder,
-                    stale_after: STALE_THRESHOLD,
+                    stale_after: STALE_THRESHOLD + self.slow_store_span(),
                 }
             }
             row => self.contend(row),
         }
     }
 
-    fn judge_end(&mut self, holder: LeaderView, end: LinkEnd) -> ElectionStep {
+    fn judge_end(&mut self, holder: LeaderView, end: LinkEnd, now: TimePoint) -> ElectionStep {
+        if !self.is_settled(holder, end) {
+            return self.pause(RETRY_DELAY);
+        }
         match classify_end(end, holder.incarnation) {
             LeaderStatus::Ended => {
                 self.phase = ElectionPhase::Confirming(holder);
                 ElectionStep::Read
             }
             LeaderStatus::Suspected => {
-                self.phase = ElectionPhase::Suspecting;
+                self.phase = ElectionPhase::Suspecting(holder);
                 ElectionStep::Read
             }
-            LeaderStatus::InTransition => self.pause(TRANSITION_DELAY),
+            LeaderStatus::InTransition => self.await_transition(holder, now),
         }
     }
 
+    /// Whether the end of a connection tells the state of the process. A single refusal doesn't.
+    fn is_settled(&mut self, holder: LeaderView, end: LinkEnd) -> bool {
+        let (fence, count) = self.refused_links;
+        if end != LinkEnd::Refused {
+            self.refused_links = (0, 0);
+            return true;
+        }
+        let count = if fence == holder.fence { count + 1 } else { 1 };
+        self.refused_links = (holder.fence, count);
+        let needed = if holder.batch == 0 {
+            REFUSALS_OF_LOADING
+        } else {
+            REFUSALS_OF_ENDED
+        };
+        count >= needed
+    }
+
+    /// Waits until the row names a leader that serves, but not forever: its holder may be cut off
+    /// from the store.
+    fn await_transition(&mut self, holder: LeaderView, now: TimePoint) -> ElectionStep {
+        if self.transition.0 != holder.version {
+            self.transition = (holder.version, now);
+        }
+        if now.since(self.transition.1) < TRANSITION_TIMEOUT {
+            return self.pause(TRANSITION_DELAY);
+        }
+        self.phase = ElectionPhase::Comparing(holder);
+        ElectionStep::Read
+    }
+
+    /// How long the row of a suspected leader has to stay unchanged.
+    fn patience(&self, row: LeaderView, now: TimePoint) -> TimeSpan {
+        if row.batch == 0 {
+            return LOAD_TIMEOUT + self.slow_store_span();
+        }
+        let is_recent = |at: &&TimePoint| now.since(**at) < TAKEOVER_MEMORY;
+        let recent = self.takeovers.iter().filter(is_recent).count();
+        SUSPICION_TIMEOUT.scale(1.0 + recent as f64) + self.slow_store_span()
+    }
+
+    /// By how much a leader's writes may be late on the store as it is now.
+    fn slow_store_span(&self) -> TimeSpan {
+        self.read_span.scale(SLOW_STORE_MARGIN)
+    }
+
     fn contend(&mut self, row: Option<LeaderView>) -> ElectionStep {
-        let holder = row.filter(|row| !row.unreadable);
-        let holder_cpu = holder.map(|row| row.cpu_millis);
-        let delay = election_delay::candidate_delay(&self.vm, self.cpu_millis, holder_cpu);
+        let largest_cpu = row.map(|_row| self.largest_cpu);
+        let mut delay = election_delay::candidate_delay(&self.vm, self.cpu_millis, largest_cpu);
+        if election_delay::is_small(self.cpu_millis, self.largest_cpu) {
+            delay = delay + self.read_span.scale(SMALL_VM_MARGIN);
+        }
         self.phase = ElectionPhase::Delaying(row);
         ElectionStep::AwaitTurn(delay)
     }
