Don't shorten the wait for leases when a leader ends that never served

A successor that sees its predecessor's process end waits only for leases granted until then. If the predecessor had only loaded the records, or its acquisition had taken effect late, the leader before it may still have authority, for up to 3 s, and grant leases to workers that the successor doesn't reach. A row released after a failed load counted as the predecessor's end as well.

Now only a predecessor with a batch on record counts. What remains: one that served for less than 3 s.

--- a/sapphirewalk/src/entry/driver.rs
+++ b/sapphirewalk/src/entry/driver.rs
@@ -148,7 +148,8 @@
     }
     tasks.spawn_local(measure_lag(driver.clone()));
     tasks.spawn_local(report_load(driver.clone()));
-    if let Some(predecessor) = predecessor {
+    // A predecessor without a batch never served, so the leader before it may still do so.
+    if let Some(predecessor) = predecessor.filter(|row| row.batch > 0) {
         tasks.spawn_local(watch_predecessor(driver.clone(), predecessor));
     }
     let mut given_changes = None;
