Learn of a late acquisition from the peers that connect, and leave it to a large VM

Callers waited while the row named a small VM that didn't know of it: its write had no answer, took effect when the VM had gone on, and the VM waited for 1 s, or followed the former leader, while the others connected to it 20 times a second each (takeover-storm.log, 15.2 to 16.4 s). It then led, with too little processor time.

Change: a process that turns a peer away reads the row. If the row names it with the fencing token of the write under way, it has acquired, with authority from the time of the request. Otherwise it looks again: a large VM contends for its own row, a small one releases it. The event leadership_late says so.

--- a/sapphirewalk/src/entry/driver.rs
+++ b/sapphirewalk/src/entry/driver.rs
@@ -234,8 +234,9 @@
 }
 
 /// Releases a leadership in which nothing was done, because the records couldn't be read.
-async fn release_unused(node: &EntryNode, mut row: LeaderRow, version: u64) {
+pub async fn release_unused(node: &EntryNode, mut row: LeaderRow, version: u64) {
     row.released = true;
+    slog::info!(node.log, "leadership_released"; "fence" => row.fence, "lost" => false);
     let change = records::leader_change(&row, version, None);
     let outcome = node.store.change(&change, BATCH_TIMEOUT).await;
     node.record_store_outcome("release_leadership", &outcome);
--- a/sapphirewalk/src/entry/election.rs
+++ b/sapphirewalk/src/entry/election.rs
@@ -103,6 +103,7 @@
             }
             ElectionStep::Follow { stale_after, .. } => self.follow(stale_after).await,
             ElectionStep::Acquire { fence, version } => self.acquire(fence, version).await,
+            ElectionStep::Release(own) => self.release(own.version).await,
             ElectionStep::Lead { fence, version } => self.lead(fence, version).await,
         }
     }
@@ -125,7 +126,16 @@
         let Some(LeaderView { row, .. }) = &self.view else {
             return ElectionInput::Begun;
         };
-        let end = peer::follow_leader(&self.node, row.address, row.incarnation, stale_after).await;
+        let following = peer::follow_leader(&self.node, row.address, row.incarnation, stale_after);
+        let end = tokio::select! {
+            end = following => end,
+            named = await_own_row(&self.node) => {
+                *self.node.link.borrow_mut() = None;
+                slog::info!(self.node.log, "leadership_late"; "fence" => named.row.fence,
+                    "version" => named.version);
+                return ElectionInput::Begun;
+            }
+        };
         self.note_end(end);
         ElectionInput::Unlinked(end)
     }
@@ -163,7 +173,18 @@
         let requested_at = node.now();
         let change = records::leader_change(&row, version, None);
         self.written = Some((row, requested_at));
-        let outcome = node.store.change(&change, ACQUIRE_TIMEOUT).await;
+        let outcome = tokio::select! {
+            outcome = node.store.change(&change, ACQUIRE_TIMEOUT) => outcome,
+            named = await_own_row(node) => {
+                slog::info!(node.log, "leadership_late"; "fence" => named.row.fence,
+                    "version" => named.version, "requested" => fence);
+                return if named.row.fence == fence {
+                    ElectionInput::Acquired(named.version)
+                } else {
+                    ElectionInput::Conflict
+                };
+            }
+        };
         node.record_store_outcome("acquire_leadership", &outcome);
         if let Err(error) = &outcome {
             slog::warn!(node.log, "leadership_unconfirmed"; "fence" => fence, "error" => %error,
@@ -177,6 +198,15 @@
         }
     }
 
+    /// Releases a leadership that this process hasn't begun, at this version of the row.
+    async fn release(&self, version: u64) -> ElectionInput {
+        let Some(LeaderView { row, .. }) = &self.view else {
+            return ElectionInput::Begun;
+        };
+        driver::release_unused(&self.node, row.clone(), version).await;
+        ElectionInput::Begun
+    }
+
     async fn lead(&mut self, fence: u64, version: u64) -> ElectionInput {
         let node = &self.node;
         if let Some((row, requested_at)) = self.written.take() {
@@ -190,6 +220,19 @@
     }
 }
 
+/// Waits until the leader row names this process, which peers that connect indicate.
+async fn await_own_row(node: &EntryNode) -> LeaderView {
+    loop {
+        node.turned_away.notified().await;
+        if let Ok(Some(view)) = read_view(node).await
+            && view.row.incarnation == node.incarnation
+            && !view.row.released
+        {
+            return view;
+        }
+    }
+}
+
 async fn read_view(node: &EntryNode) -> Result<Option<LeaderView>, StoreError> {
     let read = node
         .store
--- a/sapphirewalk/src/entry/node.rs
+++ b/sapphirewalk/src/entry/node.rs
@@ -67,6 +67,8 @@
     pub loading: cell::Cell<Option<u64>>,
     /// Notified when this process has loaded the records, or can't.
     pub load_ended: Notify,
+    /// Notified when a connection of a peer is turned away: the leader row may name this process.
+    pub turned_away: Notify,
     /// Number of connections of peers that were turned away because this process doesn't lead.
     pub peers_turned_away: cell::Cell<u64>,
     /// Set when shutdown begins, and never cleared.
@@ -99,6 +101,7 @@
             link: cell::RefCell::new(None),
             loading: cell::Cell::new(None),
             load_ended: Notify::new(),
+            turned_away: Notify::new(),
             peers_turned_away: cell::Cell::new(0),
             stopping: cell::Cell::new(false),
             stop_signal: Notify::new(),
--- a/sapphirewalk/src/entry/peer.rs
+++ b/sapphirewalk/src/entry/peer.rs
@@ -227,6 +227,7 @@
                 return;
             }
             node.peers_turned_away.set(node.peers_turned_away.get() + 1);
+            node.turned_away.notify_one();
             let absent = PeerMessage::Absent {
                 incarnation: node.incarnation,
             };
--- a/sapphirewalk_core/src/leader_election.rs
+++ b/sapphirewalk_core/src/leader_election.rs
@@ -111,6 +111,8 @@
         /// Version of the row that is replaced; 0 if there is none.
         version: u64,
     },
+    /// Writes the leader row as released, so that a larger VM can acquire the leadership.
+    Release(LeaderView),
     /// Leads until the leadership ends.
     Lead {
         /// Fencing token of the leadership.
@@ -123,7 +125,7 @@
 /// What a step led to.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ElectionInput {
-    /// The process has started, or its leadership has ended.
+    /// The process has started, its leadership has ended, or the row turned out to name it.
     Begun,
     /// The wait is over.
     Waited,
@@ -166,6 +168,8 @@
     Delaying(Option<LeaderView>),
     /// Reads the row before it is replaced.
     Rechecking(Option<LeaderView>),
+    /// Writes its own row as released.
+    Releasing,
     /// Writes the row with this fencing token.
     Acquiring(u64),
     /// Leads.
@@ -353,10 +357,22 @@
                     stale_after: STALE_THRESHOLD + self.slow_store_span(),
                 }
             }
+            Some(own) if !own.released => self.resolve_own(own),
             row => self.contend(row),
         }
     }
 
+    /// Ends the uncertainty about a row that names this process, which doesn't lead: a write without
+    /// an answer took effect.
+    fn resolve_own(&mut self, own: LeaderView) -> ElectionStep {
+        if election_delay::is_small(self.cpu_millis, self.largest_cpu) {
+            self.phase = ElectionPhase::Releasing;
+            ElectionStep::Release(own)
+        } else {
+            self.contend(Some(own))
+        }
+    }
+
     fn judge_end(&mut self, holder: LeaderView, end: LinkEnd, now: TimePoint) -> ElectionStep {
         if !self.is_settled(holder, end) {
             return self.pause(RETRY_DELAY);
--- a/sapphirewalk_core/tests/leader_election/main.rs
+++ b/sapphirewalk_core/tests/leader_election/main.rs
@@ -107,3 +107,18 @@
         assert_eq!(report.unverified, 0, "seed {seed}");
     }
 }
+
+#[test]
+fn a_small_vm_that_a_late_acquisition_names_yields_to_a_large_one() {
+    for seed in SEEDS {
+        let day = ElectionDay {
+            late_acquisitions: vec![5_000],
+            end_ms: 5_000 + RECOVERY_MS,
+            ..ElectionDay::default()
+        };
+        let report = model::play(seed, LARGE, SMALL, day);
+        let last = report.takeovers.last().expect("a VM leads");
+        assert_eq!(last.cpu_millis, LARGE_CPU, "seed {seed}");
+        assert!(last.at_ms > 5_000, "seed {seed}: nobody leads");
+    }
+}
--- a/sapphirewalk_core/tests/leader_election/model.rs
+++ b/sapphirewalk_core/tests/leader_election/model.rs
@@ -133,6 +133,7 @@
     cpu_free_at: u64,
     /// Times at which waiting connections are accepted.
     waiting_links: Vec<u64>,
+    last_step: ElectionStep,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -248,6 +249,7 @@
                     committed_at: 0,
                     cpu_free_at: 0,
                     waiting_links: Vec::new(),
+                    last_step: ElectionStep::Read,
                 }
             })
             .collect();
@@ -443,6 +445,7 @@
         vm.step += 1;
         let step = vm.step;
         let next = vm.election.advance(input, now);
+        vm.last_step = next;
         match next {
             ElectionStep::Read => {
                 if self.is_lost() {
@@ -482,10 +485,34 @@
                 self.vms[number].committed_at = self.now;
                 self.write(number, row, version, WriteKind::Acquire { step });
             }
+            ElectionStep::Release(own) => {
+                let row = LeaderView {
+                    released: true,
+                    ..own
+                };
+                self.write(number, row, own.version, WriteKind::Acquire { step });
+            }
             ElectionStep::Lead { fence, version } => self.begin_term(number, fence, version),
         }
     }
 
+    /// A peer connects to a process that doesn't lead, which reads the row in case it names it.
+    fn turn_away(&mut self, number: usize) {
+        let vm = &self.vms[number];
+        let Some(row) = self.row.filter(|row| row.incarnation == vm.incarnation) else {
+            return;
+        };
+        let input = match vm.last_step {
+            ElectionStep::Follow { .. } if !row.released => ElectionInput::Begun,
+            ElectionStep::Acquire { fence, .. } if row.fence == fence => {
+                ElectionInput::Acquired(row.version)
+            }
+            _ => return,
+        };
+        let (vm, step) = (number, vm.step);
+        self.give_input(vm, step, 2 * LINK_US + self.store_span(READ_US), input);
+    }
+
     fn give_input(&mut self, vm: usize, step: u64, after: u64, input: ElectionInput) {
         let at = self.now + after;
         self.schedule(at, ModelEvent::Input { vm, step, input });
@@ -718,6 +745,7 @@
             };
             self.schedule(served_at, beat);
         } else {
+            self.turn_away(holder);
             let incarnation = self.vms[holder].incarnation;
             let absent = ElectionInput::Unlinked(LinkEnd::Absent(incarnation));
             let after = served_at - self.now;
