Let a test wait until the line that it looks for is flushed

The leader was killed 28 ms after it had placed the job's runs, and a process flushes its log each 50 ms, so the lines were lost with it. The test now waits for the placement in the leader's log before it kills the leader, as it did for the acceptance; what it asserts is unchanged.

--- a/sapphirewalk/tests/entry/explain.rs
+++ b/sapphirewalk/tests/entry/explain.rs
@@ -37,6 +37,12 @@
         })
         .await;
     let first = fleet.leader().expect("an entry VM is the leader");
+    // A kill loses the lines that the process has not flushed yet.
+    fleet
+        .until("its placement is in the log", async |fleet| {
+            fleet.entries[first].log().contains("event=run_placed")
+        })
+        .await;
     fleet.entries[first].kill();
     fleet.until_state(1 - first, 500, "completed").await;
     fleet.entries[1 - first].terminate();
