Hand the leadership back from a small VM to a larger one

A small VM that acquires the leadership while no large one reaches the store kept it for good.

Cause: nothing compared the leader with the VMs that are connected to it. Ruled out: the delay of candidates, which decides only when the leadership is free.

Change: a peer reports its share of a core over the connection to the leader. A leader with much less than the largest of them releases the leadership as at a graceful stop, once its batches have been prompt for a second, and writes that share into the row, by which smaller VMs wait. Not within 3.5 s of its own begin, so that two VMs don't take turns while orders of the former hold, and not after three takeovers in 20 s. The message is the last of its enum; a leader of an earlier version ignores it.

Processes: a VM of a tenth of a core leads alone, a larger one starts, the leadership moves and each of 18 runs is started once.

--- a/sapphirewalk/src/entry/driver.rs
+++ b/sapphirewalk/src/entry/driver.rs
@@ -14,6 +14,8 @@
 use sapphirewalk_core::coordinator::OrderAnswer;
 use sapphirewalk_core::coordinator::PollAnswer;
 use sapphirewalk_core::coordinator::RunPhase;
+use sapphirewalk_core::leadership_handback::HandbackStep;
+use sapphirewalk_core::leadership_handback::LeadershipHandback;
 use sapphirewalk_core::time::TimePoint;
 use sapphirewalk_core::time::TimeSpan;
 use sapphirewalk_core::worker_registry::WorkerListing;
@@ -82,14 +84,31 @@
     committing: cell::Cell<bool>,
 }
 
+/// A leadership that this process has acquired.
+#[derive(Debug)]
+pub struct LeaderTenure {
+    /// The leader row as written.
+    pub row: LeaderRow,
+    /// Store version of the row.
+    pub version: u64,
+    /// When the write of the row was requested.
+    pub requested_at: TimePoint,
+    /// The row that was replaced; `None` if there was none, or it couldn't be read.
+    pub predecessor: Option<LeaderRow>,
+    /// Decides whether the leadership is handed back to a larger VM.
+    pub handback: LeadershipHandback,
+}
+
 /// Runs the coordinator until the leadership is lost or released.
-pub async fn coordinate(
-    node: &rc::Rc<EntryNode>,
-    row: LeaderRow,
-    version: u64,
-    requested_at: TimePoint,
-    predecessor: Option<LeaderRow>,
-) {
+pub async fn coordinate(node: &rc::Rc<EntryNode>, tenure: LeaderTenure) {
+    let LeaderTenure {
+        row,
+        version,
+        requested_at,
+        predecessor,
+        handback,
+    } = tenure;
+    let handback = rc::Rc::new(cell::RefCell::new(handback));
     let acquired_at = node.now();
     let turned_away_before = node.peers_turned_away.get();
     node.loading.set(Some(row.fence));
@@ -128,6 +147,7 @@
     *node.leadership.borrow_mut() = Some(LeaderHandle {
         fence,
         coordinator: driver.coordinator.clone(),
+        handback: handback.clone(),
         events,
     });
     end_load(node);
@@ -153,7 +173,8 @@
         tasks.spawn_local(watch_predecessor(driver.clone(), predecessor));
     }
     let mut given_changes = None;
-    while !driver.lost.get() && !node.stopping.get() {
+    let mut successor_cpu = None;
+    while !driver.lost.get() && !node.stopping.get() && successor_cpu.is_none() {
         while let Some(ended) = tasks.try_join_next() {
             if let Err(error) = ended {
                 slog::error!(node.log, "leader_task_failed"; "error" => %error);
@@ -180,6 +201,16 @@
         for effect in effects {
             execute_effect(&driver, &mut tasks, effect);
         }
+        let batch_age = now.since(driver.coordinator.borrow().committed_at());
+        match handback.borrow_mut().decide(batch_age, now) {
+            HandbackStep::Keep => {}
+            HandbackStep::Release(cpu_millis) => {
+                slog::info!(node.log, "leadership_handed_back"; "fence" => fence,
+                    "largest_cpu" => cpu_millis);
+                successor_cpu = Some(cpu_millis);
+                continue;
+            }
+        }
         let pause = time::Duration::from(wake.since(node.now()));
         tokio::select! {
             event = receiver.recv() => {
@@ -197,7 +228,7 @@
     node.metrics.unreadable_workers.set(0);
     slog::info!(node.log, "leadership_released"; "fence" => fence, "lost" => lost);
     if !lost {
-        release_leadership(&driver, tasks).await;
+        release_leadership(&driver, tasks, successor_cpu).await;
     }
 }
 
@@ -243,8 +274,13 @@
 }
 
 /// Waits for the batch in flight, then releases the leadership so that another process can take it
-/// at once.
-async fn release_leadership(driver: &LeaderDriver, mut tasks: task::JoinSet<()>) {
+/// at once. `successor_cpu` is the share of the VM for which it is released, so that smaller ones
+/// wait for it.
+async fn release_leadership(
+    driver: &LeaderDriver,
+    mut tasks: task::JoinSet<()>,
+    successor_cpu: Option<u64>,
+) {
     let deadline = tokio::time::Instant::now() + BATCH_TIMEOUT;
     while driver.committing.get() && tokio::time::Instant::now() < deadline {
         tokio::time::sleep(time::Duration::from_millis(2)).await;
@@ -253,6 +289,7 @@
     let mut row = driver.row.borrow().clone();
     row.batch += 1;
     row.released = true;
+    row.cpu_millis = successor_cpu.unwrap_or(row.cpu_millis);
     let change = records::leader_change(&row, driver.version.get(), None);
     let outcome = driver.node.store.change(&change, BATCH_TIMEOUT).await;
     driver
--- a/sapphirewalk/src/entry/election.rs
+++ b/sapphirewalk/src/entry/election.rs
@@ -10,6 +10,7 @@
 use sapphirewalk_core::leader_election::LeaderElection;
 use sapphirewalk_core::leader_election::LeaderStatus;
 use sapphirewalk_core::leader_election::LinkEnd;
+use sapphirewalk_core::leadership_handback::LeadershipHandback;
 use sapphirewalk_core::time::TimePoint;
 use sapphirewalk_core::time::TimeSpan;
 use sapphirewalk_platform::store::ChangeOutcome;
@@ -17,6 +18,7 @@
 use sapphirewalk_platform::store::StoredRow;
 
 use crate::entry::driver;
+use crate::entry::driver::LeaderTenure;
 use crate::entry::node::EntryNode;
 use crate::entry::peer;
 use crate::entry::records;
@@ -214,7 +216,16 @@
             node.metrics.leaderships_started.increment();
             let holder = self.view.take().filter(|view| !view.unreadable);
             let predecessor = holder.map(|view| view.row);
-            driver::coordinate(node, row, version, requested_at, predecessor).await;
+            let takeovers = self.election.recent_takeovers(node.now());
+            let handback = LeadershipHandback::new(self.cpu_millis, takeovers, requested_at);
+            let tenure = LeaderTenure {
+                row,
+                version,
+                requested_at,
+                predecessor,
+                handback,
+            };
+            driver::coordinate(node, tenure).await;
         }
         ElectionInput::Begun
     }
--- a/sapphirewalk/src/entry/node.rs
+++ b/sapphirewalk/src/entry/node.rs
@@ -6,6 +6,7 @@
 
 use sapphirewalk_core::coordinator::Event;
 use sapphirewalk_core::coordinator::JobCoordinator;
+use sapphirewalk_core::leadership_handback::LeadershipHandback;
 use sapphirewalk_core::time::TimePoint;
 use sapphirewalk_core::time::TimeSpan;
 use sapphirewalk_core::work_rule::WorkRules;
@@ -31,6 +32,8 @@
     pub fence: u64,
     /// The coordinator's state. Tasks borrow it only between await points.
     pub coordinator: rc::Rc<cell::RefCell<JobCoordinator>>,
+    /// The peers' shares of a core, which decide whether the leadership is handed back.
+    pub handback: rc::Rc<cell::RefCell<LeadershipHandback>>,
     /// Queue of events for the coordinator. Sending fails once the leadership has ended.
     pub events: mpsc::UnboundedSender<Event>,
 }
@@ -71,6 +74,8 @@
     pub turned_away: Notify,
     /// Number of connections of peers that were turned away because this process doesn't lead.
     pub peers_turned_away: cell::Cell<u64>,
+    /// Number of connections of peers so far.
+    peer_connections: cell::Cell<u64>,
     /// Set when shutdown begins, and never cleared.
     pub stopping: cell::Cell<bool>,
     /// Notified when shutdown begins or the leadership is lost.
@@ -103,6 +108,7 @@
             load_ended: Notify::new(),
             turned_away: Notify::new(),
             peers_turned_away: cell::Cell::new(0),
+            peer_connections: cell::Cell::new(0),
             stopping: cell::Cell::new(false),
             stop_signal: Notify::new(),
             store_lost_at: cell::Cell::new(None),
@@ -120,6 +126,13 @@
         self.rules.borrow().clone()
     }
 
+    /// A number for a connection of a peer that no other connection has.
+    pub fn number_connection(&self) -> u64 {
+        let number = self.peer_connections.get();
+        self.peer_connections.set(number + 1);
+        number
+    }
+
     /// The coordinator of this process. `None` while it isn't the leader.
     pub fn own_leadership(&self) -> Option<LeaderHandle> {
         self.leadership.borrow().clone()
--- a/sapphirewalk/src/entry/peer.rs
+++ b/sapphirewalk/src/entry/peer.rs
@@ -12,6 +12,7 @@
 use futures::StreamExt;
 use sapphirewalk_core::coordinator::Event;
 use sapphirewalk_core::coordinator::JobRecord;
+use sapphirewalk_core::election_delay;
 use sapphirewalk_core::job_registry::JobState;
 use sapphirewalk_core::job_spec::JobId;
 use sapphirewalk_core::job_spec::JobSpec;
@@ -60,6 +61,9 @@
     /// Asks whether all failure domains with workers are being evacuated. A leader of an earlier
     /// version can't decode it and doesn't answer.
     Evacuated { number: u64 },
+    /// Reports the share of a core of the peer's VM, in thousandths. A leader of an earlier version
+    /// can't decode it and ignores it.
+    Share { cpu_millis: u64 },
 }
 
 /// Message from the leader to a peer.
@@ -190,6 +194,12 @@
         let _sent = self.sender.send(request);
     }
 
+    /// Reports this VM's share of a core to the leader.
+    fn report_share(&self, cpu_share: f64) {
+        let cpu_millis = election_delay::cpu_millis(cpu_share);
+        let _sent = self.sender.send(PeerRequest::Share { cpu_millis });
+    }
+
     fn next_request_number(&self) -> u64 {
         let number = self.next_number.get();
         self.next_number.set(number + 1);
@@ -214,6 +224,14 @@
 }
 
 async fn serve_peer(node: &EntryNode, stream: TcpStream) {
+    let connection = node.number_connection();
+    exchange_messages(node, stream, connection).await;
+    if let Some(leader) = node.own_leadership() {
+        leader.handback.borrow_mut().peer_gone(connection);
+    }
+}
+
+async fn exchange_messages(node: &EntryNode, stream: TcpStream, connection: u64) {
     // Nagle's algorithm would delay small messages.
     let _nodelay = stream.set_nodelay(true);
     let mut framed = Framed::new(stream, LengthDelimitedCodec::new());
@@ -236,7 +254,7 @@
         };
         let message = tokio::select! {
             frame = framed.next() => match frame {
-                Some(Ok(frame)) => answer(&leader, &frame),
+                Some(Ok(frame)) => answer(&leader, connection, &frame),
                 Some(Err(_)) | None => return,
             },
             _ = heartbeat.tick() => {
@@ -284,7 +302,7 @@
     }
 }
 
-fn answer(leader: &LeaderHandle, frame: &BytesMut) -> Option<PeerMessage> {
+fn answer(leader: &LeaderHandle, connection: u64, frame: &BytesMut) -> Option<PeerMessage> {
     match postcard::from_bytes::<PeerRequest>(frame) {
         Ok(PeerRequest::State { number, id }) => Some(PeerMessage::State {
             number,
@@ -320,6 +338,11 @@
             number,
             all: leader.coordinator.borrow().is_wholly_evacuated(),
         }),
+        Ok(PeerRequest::Share { cpu_millis }) => {
+            let mut handback = leader.handback.borrow_mut();
+            handback.peer_connected(connection, cpu_millis);
+            None
+        }
         Err(_unreadable) => None,
     }
 }
@@ -347,7 +370,8 @@
 }
 
 /// Connects to the leader and provides the connection as `EntryNode::link` while the leader answers
-/// requests. `incarnation` is the one that the leader row names. Returns why the connection ended. A heartbeat that gives the last committed batch an age over `stale_after` ends it.
+/// requests. `incarnation` is the one that the leader row names. A heartbeat that gives the last
+/// committed batch an age over `stale_after` ends it. Returns why the connection ended.
 pub async fn follow_leader(
     node: &EntryNode,
     address: net::SocketAddr,
@@ -379,7 +403,11 @@
                 received_at = tokio::time::Instant::now();
                 match handle_message(&replies, &frame, incarnation, stale_after) {
                     LinkStep::Continue => {}
-                    LinkStep::Serving => *node.link.borrow_mut() = Some(link.clone()),
+                    LinkStep::Serving => {
+                        if node.link.borrow_mut().replace(link.clone()).is_none() {
+                            link.report_share(node.settings.cpu_share);
+                        }
+                    }
                     LinkStep::Loading => *node.link.borrow_mut() = None,
                     LinkStep::End(end) => break end,
                 }
--- a/sapphirewalk/tests/entry/election.rs
+++ b/sapphirewalk/tests/entry/election.rs
@@ -75,3 +75,27 @@
     fleet.entries[0].restart();
     fleet.until_state(0, 310, "completed").await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leader_on_a_small_vm_hands_the_leadership_back_to_a_larger_one() {
+    let mut fleet = EntryFleet::start("handback", 2).await;
+    fleet.set_cpu_share(0, 0.1);
+    fleet.entries[1].kill();
+    fleet.entries[0].restart();
+    let counts = [4, 2, 2, 2, 2, 2, 2, 2];
+    assert_eq!(fleet.submit(0, 320, 1_000, &counts).await, 200);
+    fleet
+        .until("the job is running", async |fleet| fleet.running(320) == 4)
+        .await;
+    assert_eq!(fleet.leader(), Some(0));
+    fleet.entries[1].restart();
+    fleet
+        .until("the larger VM is the leader", async |fleet| {
+            fleet.leader() == Some(1)
+        })
+        .await;
+    assert_ne!(fleet.state(0, 320).await, "completed");
+    fleet.until_state(0, 320, "completed").await;
+    assert_eq!(fleet.starts(320), 18);
+    fleet.assert_no_duplicate_runs();
+}
--- a/sapphirewalk/tests/entry/fleet.rs
+++ b/sapphirewalk/tests/entry/fleet.rs
@@ -255,6 +255,15 @@
         self.entries.push(entry);
     }
 
+    /// Sets the share of a core of an entry VM, in cores, from its next start on.
+    pub fn set_cpu_share(&self, number: usize, cpu_share: f64) {
+        let path = &self.entries[number].settings;
+        let text = fs::read_to_string(path).expect("the settings were written here");
+        let mut document: Value = serde_json::from_str(&text).expect("the settings are JSON");
+        document["cpu_share"] = json!(cpu_share);
+        fs::write(path, document.to_string()).expect("the test's folder is writable");
+    }
+
     /// The number of the entry VM that became the leader last, by the highest fencing token in the
     /// logs.
     pub fn leader(&self) -> Option<usize> {
--- a/sapphirewalk_core/src/leader_election.rs
+++ b/sapphirewalk_core/src/leader_election.rs
@@ -425,11 +425,16 @@
         if row.batch == 0 {
             return LOAD_TIMEOUT + self.slow_store_span();
         }
-        let is_recent = |at: &&TimePoint| now.since(**at) < TAKEOVER_MEMORY;
-        let recent = self.takeovers.iter().filter(is_recent).count();
+        let recent = self.recent_takeovers(now);
         SUSPICION_TIMEOUT.scale(1.0 + recent as f64) + self.slow_store_span()
     }
 
+    /// Number of takeovers seen in the last 20 s, at most 3.
+    pub fn recent_takeovers(&self, now: TimePoint) -> usize {
+        let is_recent = |at: &&TimePoint| now.since(**at) < TAKEOVER_MEMORY;
+        self.takeovers.iter().filter(is_recent).count()
+    }
+
     /// By how much a leader's writes may be late on the store as it is now.
     fn slow_store_span(&self) -> TimeSpan {
         self.read_span.scale(SLOW_STORE_MARGIN)
--- a/sapphirewalk_core/src/lib.rs
+++ b/sapphirewalk_core/src/lib.rs
@@ -15,9 +15,9 @@
 //!   [`urgency`] and [`write_pace`].
 //! - Jobs, under the single leader of a deployment: [`config_check`], [`coordinator`],
 //!   [`crash_history`], [`demand_summary`], [`election_delay`], [`image_interference`], [`job_order`],
-//!   [`job_registry`], [`job_spec`], [`leader_election`], [`load_cycle`], [`load_trend`],
-//!   [`maintenance_wave`],
-//!   [`progress_row`], [`room_forecast`], [`room_reservation`], [`unavailability_budget`],
+//!   [`job_registry`], [`job_spec`], [`leader_election`], [`leadership_handback`],
+//!   [`load_cycle`], [`load_trend`], [`maintenance_wave`], [`progress_row`], [`restart_queue`],
+//!   [`room_forecast`], [`room_reservation`], [`unavailability_budget`],
 //!   [`work_rule`] and [`worker_registry`].
 //!
 //! All use [`time`]; [`key`] and [`resource`] are shared by two each, and [`rollout_order`] belongs
@@ -50,6 +50,7 @@
 pub mod latency_histogram;
 pub mod leader_election;
 pub mod leader_lag;
+pub mod leadership_handback;
 pub mod load_cycle;
 pub mod load_trend;
 pub mod maintenance_wave;
--- a/sapphirewalk_core/tests/leader_election/main.rs
+++ b/sapphirewalk_core/tests/leader_election/main.rs
@@ -122,3 +122,30 @@
         assert!(last.at_ms > 5_000, "seed {seed}: nobody leads");
     }
 }
+
+/// Guards against a small VM that keeps the leadership for good.
+#[test]
+fn a_small_vm_that_led_while_no_large_one_could_hands_the_leadership_back() {
+    for seed in SEEDS {
+        let day = ElectionDay {
+            leader_kills: vec![5_000],
+            large_freezes: vec![span(4_900, 9_000)],
+            end_ms: 30_000,
+            ..ElectionDay::default()
+        };
+        let report = model::play(seed, LARGE, SMALL, day);
+        let small = report.takeovers.iter();
+        let small = small.filter(|takeover| takeover.cpu_millis < LARGE_CPU);
+        assert_eq!(small.count(), 1, "seed {seed}: {:?}", report.takeovers);
+        let last = report.takeovers.last().expect("a VM leads");
+        assert_eq!(last.cpu_millis, LARGE_CPU, "seed {seed}");
+        assert!(
+            last.at_ms < 9_000 + RECOVERY_MS,
+            "seed {seed}: leads from {} ms",
+            last.at_ms
+        );
+        let count = report.takeovers_in(5_000, 30_000);
+        assert!(count <= FEW_TAKEOVERS, "seed {seed}: {count} takeovers");
+        assert_eq!(report.unverified, 0, "seed {seed}");
+    }
+}
