Leave the room to urgent work at first when many restarts wait

Cause: after the loss of many workers hundreds of restarts took half of the room that became free at once, although each has 6 s, and urgent work objectives of about a second.

Change: while more than 8 restarts wait, those that have waited for less than 2 s keep the rank of their step and get no reservation. Few restarts still go first at once.

Tests: many_restarts_leave_the_room_to_urgent_work_at_first; the tests of restarts hold their bounds.

--- a/sapphirewalk_core/src/coordinator/restart.rs
+++ b/sapphirewalk_core/src/coordinator/restart.rs
@@ -31,7 +31,7 @@
 
 impl JobCoordinator {
     /// Places restarts before other work, those first that have waited longest: all while few wait,
-    /// one in a round while they are ahead of their half of the room otherwise.
+    /// otherwise one in a round of those that have waited for long, up to half of the room.
     pub(super) fn place_restarts(&mut self, round: &mut PlaceRound, now: TimePoint) {
         if self.restarts.waits().is_empty() {
             return;
@@ -40,7 +40,7 @@
         let few = self.restarts.are_few();
         round.begin_restarts();
         for restart in self.restart_steps(now).into_iter().take(ROUND_STEPS) {
-            if !self.restarts.has_precedence() {
+            if !self.restarts.has_precedence(restart.since, now) {
                 break;
             }
             let most = if few { restart.ready } else { 1 };
@@ -113,7 +113,8 @@
             };
             let held = self.reservations.step_count(restart.step);
             let wanted = restart.ready.saturating_sub(held).min(vacancies);
-            if now.since(restart.since) < room_reservation::MIN_WAIT || wanted == 0 {
+            let min_wait = room_reservation::MIN_WAIT;
+            if !self.restarts.may_reserve(restart.since, min_wait, now) || wanted == 0 {
                 continue;
             }
             let candidate = ReserveCandidate {
--- a/sapphirewalk_core/src/restart_queue.rs
+++ b/sapphirewalk_core/src/restart_queue.rs
@@ -2,8 +2,9 @@
 //!
 //! Users of a service lose a share of it for each task that is missing, whatever else the pool does.
 //! While few restarts wait, they precede all other work: most of these runs failed and left the very
-//! room that their successors need. After the loss of many workers the room is gone, so restarts and
-//! other work each get half of what becomes free.
+//! room that their successors need. After the loss of many workers the room is gone, and urgent work
+//! has objectives of about a second: restarts keep the rank of their step at first. Those that have
+//! waited for longer get half of what becomes free, so that they are back in time.
 
 use crate::job_registry::TaskSlot;
 use crate::time::TimePoint;
@@ -16,6 +17,9 @@
 /// Number of waiting restarts up to which all of them precede other work: about what two workers
 /// hold.
 pub const FEW_RESTARTS: usize = 8;
+/// Wait from which restarts precede other work although many wait: a third of the 6 s within which
+/// callers are guaranteed that a task of a service is back.
+const PATIENCE: TimeSpan = TimeSpan::from_millis(2_000);
 /// Minimum interval between rounds that reserve room for restarts, since each looks at all workers.
 const RESERVE_INTERVAL: TimeSpan = TimeSpan::from_millis(50);
 
@@ -68,9 +72,16 @@
         self.waits.len() <= FEW_RESTARTS
     }
 
-    /// Whether the next restart precedes other work.
-    pub const fn has_precedence(&self) -> bool {
-        self.are_few() || self.lead_cpu_millis == 0
+    /// Whether a restart that waits since `since` precedes other work.
+    pub fn has_precedence(&self, since: TimePoint, now: TimePoint) -> bool {
+        self.are_few() || (self.lead_cpu_millis == 0 && now.since(since) >= PATIENCE)
+    }
+
+    /// Whether room may be reserved for a restart that waits since `since` and for which other steps
+    /// would wait for `min_wait`.
+    pub fn may_reserve(&self, since: TimePoint, min_wait: TimeSpan, now: TimePoint) -> bool {
+        let wait = if self.are_few() { min_wait } else { PATIENCE };
+        now.since(since) >= wait
     }
 
     /// Records room, in thousandths of a core, that restarts got ahead of other work.
--- a/sapphirewalk_core/tests/restart_queue.rs
+++ b/sapphirewalk_core/tests/restart_queue.rs
@@ -9,6 +9,8 @@
 use sapphirewalk_core::time::TimePoint;
 
 const SINCE: TimePoint = TimePoint::from_millis(1_000);
+/// When a restart that waits since [`SINCE`] has used half of its 6 s.
+const LATER: TimePoint = TimePoint::from_millis(4_000);
 
 fn queue_of(tasks: u32) -> RestartQueue {
     let mut queue = RestartQueue::default();
@@ -27,18 +29,31 @@
 fn few_restarts_precede_other_work_whatever_they_take() {
     let mut queue = queue_of(restart_queue::FEW_RESTARTS as u32);
     for _ in 0..100 {
-        assert!(queue.has_precedence());
+        assert!(queue.has_precedence(SINCE, SINCE));
         queue.record_restarts(13_000);
     }
 }
 
+#[test]
+fn many_restarts_leave_the_room_to_urgent_work_at_first() {
+    let queue = queue_of(500);
+    let soon = TimePoint::from_millis(2_000);
+    assert!(!queue.has_precedence(SINCE, soon));
+    assert!(queue.has_precedence(SINCE, LATER));
+    assert!(!queue.has_precedence(soon, soon));
+}
+
 #[test]
 fn many_restarts_get_half_of_the_room() {
     for freed in [4_000, 20_000, 100_000] {
         let mut queue = queue_of(500);
         let (mut restarts, mut others) = (0, 0);
         for _ in 0..1_000 {
-            let taken = if queue.has_precedence() { 13_000 } else { 0 };
+            let taken = if queue.has_precedence(SINCE, LATER) {
+                13_000
+            } else {
+                0
+            };
             queue.record_restarts(taken);
             restarts += taken;
             let left = u64::saturating_sub(freed, taken);
