Judge a late row by the write under way, and a loading leader's refusals by time

A VM that isn't small and that a late write had named contended for its own row. Peers that connected meanwhile had left a notice, so beside its next write it read the row that it was replacing, took that for another late row, and dropped the write, which took effect. The row named it again, and nobody led: the cycle has no end. The row being replaced is now told by its version; the decision is part of the state machine, so that the model and the process share it.

Five refused connections in a row, 0.75 s, counted as the end of a leader that loads. One that is busy with more peers than its socket queues refuses as many. Its refusals now count after the 4 s that a load may take. A suspected row is read each 0.7 s, not only at the end of these 4 s, so that a process that the row names, or a leader that has begun to serve, is noticed. A process that says that it loads for 10 s counts as silent. A refused release is retried after a pause. Handovers don't count as takeovers.

--- a/sapphirewalk/src/entry/driver.rs
+++ b/sapphirewalk/src/entry/driver.rs
@@ -119,7 +119,9 @@
     node.record_store_outcome("read_records", &read);
     let Ok(set) = read else {
         end_load(node);
-        return release_unused(node, row, version).await;
+        // A row that stays unreleased is found by the election.
+        let _released = release_unused(node, row, version).await;
+        return;
     };
     log_unreadable(node, &set.unreadable, set.unnamed);
     let (jobs, feed_from) = (set.records, set.version);
@@ -265,12 +267,21 @@
 }
 
 /// Releases a leadership in which nothing was done, because the records couldn't be read.
-pub async fn release_unused(node: &EntryNode, mut row: LeaderRow, version: u64) {
+///
+/// # Errors
+///
+/// If the store refuses the write or doesn't answer.
+pub async fn release_unused(
+    node: &EntryNode,
+    mut row: LeaderRow,
+    version: u64,
+) -> Result<ChangeOutcome, StoreError> {
     row.released = true;
     slog::info!(node.log, "leadership_released"; "fence" => row.fence, "lost" => false);
     let change = records::leader_change(&row, version, None);
     let outcome = node.store.change(&change, BATCH_TIMEOUT).await;
     node.record_store_outcome("release_leadership", &outcome);
+    outcome
 }
 
 /// Waits for the batch in flight, then releases the leadership so that another process can take it
--- a/sapphirewalk/src/entry/election.rs
+++ b/sapphirewalk/src/entry/election.rs
@@ -131,11 +131,10 @@
         let following = peer::follow_leader(&self.node, row.address, row.incarnation, stale_after);
         let end = tokio::select! {
             end = following => end,
-            named = await_own_row(&self.node) => {
+            (named, input) = await_own_row(&self.node, &self.election) => {
                 *self.node.link.borrow_mut() = None;
-                slog::info!(self.node.log, "leadership_late"; "fence" => named.row.fence,
-                    "version" => named.version);
-                return ElectionInput::Begun;
+                note_late(&self.node, &named);
+                return input;
             }
         };
         self.note_end(end);
@@ -177,14 +176,9 @@
         self.written = Some((row, requested_at));
         let outcome = tokio::select! {
             outcome = node.store.change(&change, ACQUIRE_TIMEOUT) => outcome,
-            named = await_own_row(node) => {
-                slog::info!(node.log, "leadership_late"; "fence" => named.row.fence,
-                    "version" => named.version, "requested" => fence);
-                return if named.row.fence == fence {
-                    ElectionInput::Acquired(named.version)
-                } else {
-                    ElectionInput::Conflict
-                };
+            (named, input) = await_own_row(node, &self.election) => {
+                note_late(node, &named);
+                return input;
             }
         };
         node.record_store_outcome("acquire_leadership", &outcome);
@@ -205,8 +199,11 @@
         let Some(LeaderView { row, .. }) = &self.view else {
             return ElectionInput::Begun;
         };
-        driver::release_unused(&self.node, row.clone(), version).await;
-        ElectionInput::Begun
+        match driver::release_unused(&self.node, row.clone(), version).await {
+            Ok(_) => ElectionInput::Begun,
+            Err(StoreError::Unknown) => ElectionInput::Unanswered,
+            Err(StoreError::Refused | StoreError::Malformed(_)) => ElectionInput::Refused,
+        }
     }
 
     async fn lead(&mut self, fence: u64, version: u64) -> ElectionInput {
@@ -231,15 +228,20 @@
     }
 }
 
-/// Waits until the leader row names this process, which peers that connect indicate.
-async fn await_own_row(node: &EntryNode) -> LeaderView {
+fn note_late(node: &EntryNode, named: &LeaderView) {
+    slog::info!(node.log, "leadership_late"; "fence" => named.row.fence,
+        "version" => named.version);
+}
+
+/// Waits for a leader row that names this process and ends the step under way. Peers that connect
+/// indicate such a row.
+async fn await_own_row(node: &EntryNode, election: &LeaderElection) -> (LeaderView, ElectionInput) {
     loop {
         node.turned_away.notified().await;
         if let Ok(Some(view)) = read_view(node).await
-            && view.row.incarnation == node.incarnation
-            && !view.row.released
+            && let Some(input) = election.judge_own_row((&view).into())
         {
-            return view;
+            return (view, input);
         }
     }
 }
--- a/sapphirewalk/src/entry/peer.rs
+++ b/sapphirewalk/src/entry/peer.rs
@@ -36,6 +36,8 @@
 pub const HEARTBEAT_INTERVAL: time::Duration = time::Duration::from_millis(300);
 /// A connection without any message for this long counts as dead. It spans four heartbeats.
 pub const HEARTBEAT_TIMEOUT: time::Duration = time::Duration::from_millis(1_200);
+/// A leader that has loaded the records for this long counts as silent.
+const LOADING_TIMEOUT: time::Duration = time::Duration::from_millis(10_000);
 /// Timeout for opening a connection.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(400);
 /// Timeout for an answer from the leader. It spans a few link delays.
@@ -394,6 +396,7 @@
     });
     let mut framed = Framed::new(stream, LengthDelimitedCodec::new());
     let mut received_at = tokio::time::Instant::now();
+    let connected_at = received_at;
     let end = loop {
         tokio::select! {
             frame = framed.next() => {
@@ -408,6 +411,9 @@
                             link.report_share(node.settings.cpu_share);
                         }
                     }
+                    LinkStep::Loading if connected_at.elapsed() > LOADING_TIMEOUT => {
+                        break LinkEnd::Silent;
+                    }
                     LinkStep::Loading => *node.link.borrow_mut() = None,
                     LinkStep::End(end) => break end,
                 }
--- a/sapphirewalk_core/src/leader_election.rs
+++ b/sapphirewalk_core/src/leader_election.rs
@@ -17,6 +17,8 @@
 /// The same for a leader that has recorded no batch yet: it loads the records first, which takes
 /// seconds on a small VM.
 const LOAD_TIMEOUT: TimeSpan = TimeSpan::from_millis(4_000);
+/// Interval between reads of a row that should change.
+const WATCH_INTERVAL: TimeSpan = SUSPICION_TIMEOUT;
 /// A takeover this long ago still makes the next suspicion take longer.
 const TAKEOVER_MEMORY: TimeSpan = TimeSpan::from_secs(20);
 /// Most recent takeovers that count.
@@ -31,8 +33,6 @@
 /// Refused connections in a row after which a process counts as ended. A process that is busy refuses
 /// some while it has more connections to accept than its listening socket queues.
 const REFUSALS_OF_ENDED: u32 = 2;
-/// The same for a process that loads the records, which keeps it busy.
-const REFUSALS_OF_LOADING: u32 = 5;
 /// A process that holds the row and doesn't lead counts as failed after this time.
 const TRANSITION_TIMEOUT: TimeSpan = TimeSpan::from_millis(4_000);
 /// Number of doublings of the delay after refused writes.
@@ -159,23 +159,32 @@
     Confirming(LeaderView),
     /// Reads the row of this leader, which is suspected.
     Suspecting(LeaderView),
-    /// Waits while this row should change: a leader renews its row, also one that writes it in a way
-    /// that can't be decoded here.
-    Observing(LeaderView),
-    /// Reads the row again, which should have changed.
-    Comparing(LeaderView),
+    /// Waits while this row should change, until the given time at most: a leader renews its row, also
+    /// one that writes it in a way that can't be decoded here.
+    Observing(LeaderView, TimePoint),
+    /// Reads the row again, which should have changed by the given time.
+    Comparing(LeaderView, TimePoint),
     /// Waits for its turn to replace this row.
     Delaying(Option<LeaderView>),
     /// Reads the row before it is replaced.
     Rechecking(Option<LeaderView>),
     /// Writes its own row as released.
     Releasing,
-    /// Writes the row with this fencing token.
-    Acquiring(u64),
+    /// Writes the row with this fencing token in place of this version.
+    Acquiring(u64, u64),
     /// Leads.
     Leading,
 }
 
+/// Connections that the process of one leadership refused in a row.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+struct RefusedLinks {
+    fence: u64,
+    count: u32,
+    /// When the first was refused.
+    since: TimePoint,
+}
+
 /// The election as one process sees it.
 #[derive(Clone, Debug)]
 pub struct LeaderElection {
@@ -187,6 +196,8 @@
     largest_cpu: u64,
     /// Highest fencing token seen.
     known_fence: u64,
+    /// Whether the last row that was read had been released.
+    was_released: bool,
     /// Times at which takeovers were seen, the oldest first.
     takeovers: Vec<TimePoint>,
     read_begun_at: TimePoint,
@@ -194,9 +205,8 @@
     read_span: TimeSpan,
     /// Writes refused in a row.
     refusals: u32,
-    /// Fencing token of the last leadership whose process refused a connection, and how often in a
-    /// row it did.
-    refused_links: (u64, u32),
+    /// The last refused connections, unless another end has followed them.
+    refused_links: Option<RefusedLinks>,
     /// Version of the last row whose holder didn't lead, and when this was first seen.
     transition: (u64, TimePoint),
 }
@@ -224,11 +234,12 @@
             phase: ElectionPhase::default(),
             largest_cpu: cpu_millis,
             known_fence: 0,
+            was_released: false,
             takeovers: Vec::new(),
             read_begun_at: TimePoint::EPOCH,
             read_span: TimeSpan::ZERO,
             refusals: 0,
-            refused_links: (0, 0),
+            refused_links: None,
             transition: (0, TimePoint::EPOCH),
         }
     }
@@ -244,6 +255,24 @@
         step
     }
 
+    /// What the step under way led to, given a row that names this process and was read meanwhile;
+    /// `None` if the step goes on. Peers that connect indicate such a row.
+    pub fn judge_own_row(&self, own: LeaderView) -> Option<ElectionInput> {
+        if own.incarnation != self.incarnation || own.released || own.unreadable {
+            return None;
+        }
+        match self.phase {
+            ElectionPhase::Following(_) => Some(ElectionInput::Begun),
+            // The row that is being replaced names this process already.
+            ElectionPhase::Acquiring(_, version) if own.version == version => None,
+            ElectionPhase::Acquiring(fence, _) if own.fence == fence => {
+                Some(ElectionInput::Acquired(own.version))
+            }
+            ElectionPhase::Acquiring(..) => Some(ElectionInput::Conflict),
+            _ => None,
+        }
+    }
+
     fn observe(&mut self, input: ElectionInput, now: TimePoint) {
         match input {
             ElectionInput::Row(row) => {
@@ -270,11 +299,13 @@
     fn observe_row(&mut self, row: LeaderView, now: TimePoint) {
         self.largest_cpu = self.largest_cpu.max(row.cpu_millis);
         if row.fence > self.known_fence {
-            if self.known_fence > 0 {
+            // A handover isn't a fault that makes further takeovers suspect.
+            if self.known_fence > 0 && !self.was_released {
                 self.takeovers.push(now);
             }
             self.known_fence = row.fence;
         }
+        self.was_released = row.released;
         self.takeovers.retain(|at| now.since(*at) < TAKEOVER_MEMORY);
         let surplus = self.takeovers.len().saturating_sub(REMEMBERED_TAKEOVERS);
         self.takeovers.drain(..surplus);
@@ -282,14 +313,17 @@
 
     fn decide(&mut self, input: ElectionInput, now: TimePoint) -> ElectionStep {
         match (self.phase, input) {
-            (ElectionPhase::Looking, ElectionInput::Row(row)) => self.choose(row),
+            (ElectionPhase::Looking, ElectionInput::Row(row)) => self.choose(row, now),
             (
                 ElectionPhase::Looking
                 | ElectionPhase::Suspecting(_)
                 | ElectionPhase::Rechecking(_),
                 ElectionInput::Unread,
             ) => self.pause(RETRY_DELAY),
-            (ElectionPhase::Acquiring(_), ElectionInput::Refused) => {
+            (ElectionPhase::Releasing, ElectionInput::Refused | ElectionInput::Unanswered) => {
+                self.pause(RETRY_DELAY)
+            }
+            (ElectionPhase::Acquiring(..), ElectionInput::Refused) => {
                 let doublings = self.refusals.saturating_sub(1).min(MOST_DOUBLINGS);
                 let spread = election_delay::name_delay(&self.vm);
                 self.pause(RETRY_DELAY.scale(f64::from(1u32 << doublings)) + spread)
@@ -305,17 +339,20 @@
             (ElectionPhase::Suspecting(holder), ElectionInput::Row(Some(row)))
                 if row.fence == holder.fence =>
             {
-                self.phase = ElectionPhase::Observing(row);
-                ElectionStep::Wait(self.patience(row, now))
+                self.watch_row(row, now + self.patience(row, now), now)
             }
-            (ElectionPhase::Observing(row), ElectionInput::Waited) => {
-                self.phase = ElectionPhase::Comparing(row);
+            (ElectionPhase::Observing(row, until), ElectionInput::Waited) => {
+                self.phase = ElectionPhase::Comparing(row, until);
                 ElectionStep::Read
             }
-            (ElectionPhase::Comparing(before), ElectionInput::Row(Some(row)))
+            (ElectionPhase::Comparing(before, until), ElectionInput::Row(Some(row)))
                 if row.version == before.version =>
             {
-                self.contend(Some(row))
+                if now < until {
+                    self.watch_row(row, until, now)
+                } else {
+                    self.contend(Some(row))
+                }
             }
             (ElectionPhase::Delaying(row), ElectionInput::Waited) => {
                 self.phase = ElectionPhase::Rechecking(row);
@@ -324,12 +361,12 @@
             (ElectionPhase::Rechecking(before), ElectionInput::Row(row)) if row == before => {
                 self.acquire(row)
             }
-            (ElectionPhase::Acquiring(fence), ElectionInput::Acquired(version)) => {
+            (ElectionPhase::Acquiring(fence, _), ElectionInput::Acquired(version)) => {
                 self.phase = ElectionPhase::Leading;
                 ElectionStep::Lead { fence, version }
             }
             // The row that has just been read names another leader than the one suspected.
-            (_, ElectionInput::Row(row)) => self.choose(row),
+            (_, ElectionInput::Row(row)) => self.choose(row, now),
             _ => self.look(),
         }
     }
@@ -344,11 +381,17 @@
         ElectionStep::Wait(span)
     }
 
-    fn choose(&mut self, row: Option<LeaderView>) -> ElectionStep {
+    /// Waits for a change of the row, until the given time at most, and reads it again meanwhile.
+    fn watch_row(&mut self, row: LeaderView, until: TimePoint, now: TimePoint) -> ElectionStep {
+        self.phase = ElectionPhase::Observing(row, until);
+        ElectionStep::Wait(until.since(now).min(WATCH_INTERVAL))
+    }
+
+    fn choose(&mut self, row: Option<LeaderView>, now: TimePoint) -> ElectionStep {
         match row {
             Some(row) if row.unreadable => {
-                self.phase = ElectionPhase::Observing(row);
-                ElectionStep::Wait(SUSPICION_TIMEOUT + self.slow_store_span())
+                let until = now + SUSPICION_TIMEOUT + self.slow_store_span();
+                self.watch_row(row, until, now)
             }
             Some(holder) if !holder.released && holder.incarnation != self.incarnation => {
                 self.phase = ElectionPhase::Following(holder);
@@ -374,7 +417,7 @@
     }
 
     fn judge_end(&mut self, holder: LeaderView, end: LinkEnd, now: TimePoint) -> ElectionStep {
-        if !self.is_settled(holder, end) {
+        if !self.is_settled(holder, end, now) {
             return self.pause(RETRY_DELAY);
         }
         match classify_end(end, holder.incarnation) {
@@ -390,21 +433,28 @@
         }
     }
 
-    /// Whether the end of a connection tells the state of the process. A single refusal doesn't.
-    fn is_settled(&mut self, holder: LeaderView, end: LinkEnd) -> bool {
-        let (fence, count) = self.refused_links;
+    /// Whether the end of a connection tells the state of the process. A single refusal doesn't, nor
+    /// do those of a process that may be busy with the records.
+    fn is_settled(&mut self, holder: LeaderView, end: LinkEnd, now: TimePoint) -> bool {
         if end != LinkEnd::Refused {
-            self.refused_links = (0, 0);
+            self.refused_links = None;
             return true;
         }
-        let count = if fence == holder.fence { count + 1 } else { 1 };
-        self.refused_links = (holder.fence, count);
-        let needed = if holder.batch == 0 {
-            REFUSALS_OF_LOADING
+        let known = self
+            .refused_links
+            .filter(|links| links.fence == holder.fence);
+        let mut links = known.unwrap_or(RefusedLinks {
+            fence: holder.fence,
+            count: 0,
+            since: now,
+        });
+        links.count += 1;
+        self.refused_links = Some(links);
+        if holder.batch == 0 {
+            now.since(links.since) >= LOAD_TIMEOUT
         } else {
-            REFUSALS_OF_ENDED
-        };
-        count >= needed
+            links.count >= REFUSALS_OF_ENDED
+        }
     }
 
     /// Waits until the row names a leader that serves, but not forever: its holder may be cut off
@@ -416,7 +466,7 @@
         if now.since(self.transition.1) < TRANSITION_TIMEOUT {
             return self.pause(TRANSITION_DELAY);
         }
-        self.phase = ElectionPhase::Comparing(holder);
+        self.phase = ElectionPhase::Comparing(holder, now);
         ElectionStep::Read
     }
 
@@ -452,7 +502,7 @@
 
     fn acquire(&mut self, row: Option<LeaderView>) -> ElectionStep {
         let (fence, version) = row.map_or((1, 0), |row| (row.fence + 1, row.version));
-        self.phase = ElectionPhase::Acquiring(fence);
+        self.phase = ElectionPhase::Acquiring(fence, version);
         ElectionStep::Acquire { fence, version }
     }
 }
--- a/sapphirewalk_core/tests/leader_election/main.rs
+++ b/sapphirewalk_core/tests/leader_election/main.rs
@@ -98,6 +98,7 @@
     for seed in SEEDS {
         let day = ElectionDay {
             late_acquisitions: vec![5_000],
+            late_vm: LARGE + SMALL - 1,
             end_ms: 20_000,
             ..ElectionDay::default()
         };
@@ -113,6 +114,7 @@
     for seed in SEEDS {
         let day = ElectionDay {
             late_acquisitions: vec![5_000],
+            late_vm: LARGE + SMALL - 1,
             end_ms: 5_000 + RECOVERY_MS,
             ..ElectionDay::default()
         };
@@ -149,3 +151,47 @@
         assert_eq!(report.unverified, 0, "seed {seed}");
     }
 }
+
+/// Guards against a process that replaces its own late row again and again, and never leads.
+#[test]
+fn a_late_acquisition_by_a_large_vm_leaves_the_fleet_with_a_leader() {
+    for (large, small) in [(LARGE, SMALL), (5, 0), (3, 0)] {
+        for seed in SEEDS {
+            let day = ElectionDay {
+                late_acquisitions: vec![5_000],
+                late_vm: 1,
+                end_ms: 20_000,
+                ..ElectionDay::default()
+            };
+            let report = model::play(seed, large, small, day);
+            let pause = report.longest_pause(4_500, 20_000);
+            assert!(
+                pause < RECOVERY_MS,
+                "{large} and {small} VMs, seed {seed}: {pause} ms without a batch"
+            );
+            let count = report.takeovers_in(5_000, 20_000);
+            assert!(count <= FEW_TAKEOVERS, "seed {seed}: {count} takeovers");
+            assert_eq!(report.unverified, 0, "seed {seed}");
+        }
+    }
+}
+
+/// Guards against a leader that is replaced before it has loaded the records, again and again.
+#[test]
+fn a_small_leader_that_loads_for_seconds_is_not_replaced_meanwhile() {
+    for seed in SEEDS {
+        let day = ElectionDay {
+            leader_kills: vec![5_000],
+            large_freezes: vec![span(4_900, 30_000)],
+            more_records: 1,
+            end_ms: 30_000,
+            ..ElectionDay::default()
+        };
+        let report = model::play(seed, LARGE, SMALL, day);
+        let count = report.takeovers_in(5_000, 30_000);
+        assert!(count <= FEW_TAKEOVERS, "seed {seed}: {count} takeovers");
+        let pause = report.longest_pause(5_000 + 2 * RECOVERY_MS, 30_000);
+        assert!(pause < 1_000, "seed {seed}: {pause} ms without a batch");
+        assert_eq!(report.unverified, 0, "seed {seed}");
+    }
+}
--- a/sapphirewalk_core/tests/leader_election/model.rs
+++ b/sapphirewalk_core/tests/leader_election/model.rs
@@ -66,9 +66,13 @@
     pub leader_freezes: Vec<DaySpan>,
     /// Spans in which all large VMs are frozen.
     pub large_freezes: Vec<DaySpan>,
-    /// Times at which a write of a small VM that acquires the leadership takes effect, in ms, long
-    /// after the VM has given it up.
+    /// Times at which a write of a VM that acquires the leadership takes effect, in ms, long after
+    /// the VM has given it up.
     pub late_acquisitions: Vec<u64>,
+    /// Number of that VM. Large VMs come first.
+    pub late_vm: usize,
+    /// By how much more records there are to load than usual; 0 for none.
+    pub more_records: u64,
     pub end_ms: u64,
 }
 
@@ -136,6 +140,10 @@
     /// Times at which waiting connections are accepted.
     waiting_links: Vec<u64>,
     last_step: ElectionStep,
+    /// A peer was turned away since the row was last read for that.
+    turned_away: bool,
+    /// The step during which the row is being read because a peer was turned away.
+    own_read: Option<u64>,
     handback: LeadershipHandback,
 }
 
@@ -198,6 +206,10 @@
         vm: usize,
         term: u64,
     },
+    OwnRow {
+        vm: usize,
+        step: u64,
+    },
     Batch {
         vm: usize,
         term: u64,
@@ -255,6 +267,8 @@
                     cpu_free_at: 0,
                     waiting_links: Vec::new(),
                     last_step: ElectionStep::Read,
+                    turned_away: false,
+                    own_read: None,
                     handback: LeadershipHandback::new(cpu_millis, 0, TimePoint::EPOCH),
                 }
             })
@@ -389,6 +403,7 @@
                     self.write_batch(vm, term);
                 }
             }
+            ModelEvent::OwnRow { vm, step } => self.judge_own_row(vm, step),
             ModelEvent::KillLeader => {
                 if let Some(vm) = self.leader() {
                     self.vms[vm].alive = false;
@@ -419,7 +434,7 @@
     }
 
     fn acquire_late(&mut self) {
-        let (Some(row), Some(vm)) = (self.row, self.vms.last()) else {
+        let (Some(row), Some(vm)) = (self.row, self.vms.get(self.day.late_vm)) else {
             return;
         };
         self.version += 1;
@@ -441,6 +456,8 @@
         let step = vm.step;
         let next = vm.election.advance(input, now);
         vm.last_step = next;
+        vm.own_read = None;
+        self.read_own_row(number);
         match next {
             ElectionStep::Read => {
                 if self.is_lost() {
@@ -493,19 +510,37 @@
 
     /// A peer connects to a process that doesn't lead, which reads the row in case it names it.
     fn turn_away(&mut self, number: usize) {
-        let vm = &self.vms[number];
-        let Some(row) = self.row.filter(|row| row.incarnation == vm.incarnation) else {
+        self.vms[number].turned_away = true;
+        self.read_own_row(number);
+    }
+
+    /// Reads the row if a peer was turned away and the step under way depends on it.
+    fn read_own_row(&mut self, number: usize) {
+        let vm = &mut self.vms[number];
+        let depends = matches!(
+            vm.last_step,
+            ElectionStep::Follow { .. } | ElectionStep::Acquire { .. }
+        );
+        if !depends || !vm.turned_away || vm.own_read == Some(vm.step) {
             return;
-        };
-        let input = match vm.last_step {
-            ElectionStep::Follow { .. } if !row.released => ElectionInput::Begun,
-            ElectionStep::Acquire { fence, .. } if row.fence == fence => {
-                ElectionInput::Acquired(row.version)
-            }
-            _ => return,
-        };
-        let (vm, step) = (number, vm.step);
-        self.give_input(vm, step, 2 * LINK_US + self.store_span(READ_US), input);
+        }
+        vm.turned_away = false;
+        vm.own_read = Some(vm.step);
+        let step = vm.step;
+        let at = self.now + LINK_US + self.store_span(READ_US);
+        self.schedule(at, ModelEvent::OwnRow { vm: number, step });
+    }
+
+    fn judge_own_row(&mut self, number: usize, step: u64) {
+        let vm = &mut self.vms[number];
+        if vm.step != step {
+            return;
+        }
+        vm.own_read = None;
+        match self.row.and_then(|row| vm.election.judge_own_row(row)) {
+            Some(input) => self.give_input(number, step, LINK_US, input),
+            None => self.read_own_row(number),
+        }
     }
 
     fn give_input(&mut self, vm: usize, step: u64, after: u64, input: ElectionInput) {
@@ -540,7 +575,7 @@
         self.report.unverified += usize::from(!named);
         let term = vm.term;
         let at = self.now + LINK_US + self.store_span(READ_US);
-        self.occupy(number, at, LOAD_PARTS_US[0]);
+        self.occupy(number, at, LOAD_PARTS_US[0] * (1 + self.day.more_records));
         let at = self.vms[number].cpu_free_at;
         self.schedule(at, ModelEvent::LoadPart { vm: number, term });
     }
@@ -557,10 +592,11 @@
         let VmRole::Loading(done) = vm.role else {
             return;
         };
+        let more = self.day.more_records;
         if let Some(part) = LOAD_PARTS_US.get(done + 1) {
             vm.role = VmRole::Loading(done + 1);
             let at = self.now + LINK_US + self.store_span(READ_US);
-            self.occupy(number, at, *part);
+            self.occupy(number, at, *part * (1 + more));
             let at = self.vms[number].cpu_free_at;
             self.schedule(at, ModelEvent::LoadPart { vm: number, term });
         } else {
@@ -790,7 +826,10 @@
             return;
         }
         let target = &self.vms[holder];
-        let frozen = target.frozen_until > self.now;
+        let loading = matches!(target.role, VmRole::Loading(_));
+        // Restoring the records holds up the heartbeats of the process.
+        let busy = loading && target.cpu_free_at > self.now;
+        let frozen = target.frozen_until > self.now || busy;
         let committed_ago = TimeSpan::from_micros(self.now.saturating_sub(target.committed_at));
         let end = if !target.alive {
             Some(LinkEnd::Broken)
