Let restarts that fit nowhere and crash loops cost no other work its room

Restarts that fit on no worker are always the oldest, and used up the attempts to reserve room of each round, also where nothing was reserved: with four such steps the task of another service wasn't back at all. A step for which no room could be reserved now lets others pass for 0.5 s, and only what was reserved counts.

From the third quick failure in a row the next run waits for 2 s; a quick failure right after one on another worker isn't counted against the worker.

--- a/sapphirewalk_core/src/coordinator/poll.rs
+++ b/sapphirewalk_core/src/coordinator/poll.rs
@@ -36,6 +36,13 @@
 /// The list of workers is read every 0.7 s, so by then it would show a worker that only changed its
 /// address.
 const REPLACED_SPAN: TimeSpan = TimeSpan::from_millis(1_500);
+/// A run of a service that fails within this time of its start counts as one of a crash loop.
+const QUICK_FAILURE_SPAN: TimeSpan = TimeSpan::from_millis(2_000);
+/// Such failures in a row from which the next run is delayed.
+const QUICK_FAILURE_LIMIT: u32 = 3;
+/// Delay of the next run in a crash loop. Restarts precede other work, and would take its room over
+/// and over; callers are guaranteed that a sound task is back within 6 s.
+const CRASH_LOOP_DELAY: TimeSpan = TimeSpan::from_millis(2_000);
 /// Consecutive failed runs after which a worker is quarantined.
 const FAILURE_LIMIT: u32 = 2;
 /// Time after which a failed run no longer counts. A worker that runs nothing but services has no runs
@@ -439,13 +446,17 @@
     /// Requeues a task whose run failed. Repeated failures quarantine the worker, and end the job
     /// once the queue's limit is reached; service tasks are retried without limit.
     fn fail_task(&mut self, slot: TaskSlot, worker: WorkerSlot, service: bool, now: TimePoint) {
+        let repeated = service && self.record_quick_failure(slot, worker, now);
+        let quick_failures = self.jobs.task(slot).map_or(0, |task| task.quick_failures);
         let entry = self.workers.get_mut(worker);
         if now.since(entry.failed_at) > FAILURE_MEMORY {
             entry.failures = 0;
         }
-        entry.failed_at = now;
-        entry.failures += 1;
-        if entry.failures >= FAILURE_LIMIT {
+        if !repeated {
+            entry.failed_at = now;
+            entry.failures += 1;
+        }
+        if !repeated && entry.failures >= FAILURE_LIMIT {
             let doublings = (entry.failures - FAILURE_LIMIT).min(4);
             let quarantine = FAILURE_QUARANTINE
                 .scale(f64::from(1u32 << doublings))
@@ -457,7 +468,12 @@
             );
             self.log("worker_quarantined", None, detail);
         }
-        self.requeue_task(slot, now, TimeSpan::ZERO);
+        let delay = if service && quick_failures >= QUICK_FAILURE_LIMIT {
+            CRASH_LOOP_DELAY
+        } else {
+            TimeSpan::ZERO
+        };
+        self.requeue_task(slot, now, delay);
         let Some(job) = self.jobs.get(slot.job) else {
             return;
         };
@@ -474,6 +490,22 @@
         }
     }
 
+    /// Counts the failures in a row of a service task soon after its starts. Returns whether the task
+    /// has failed so on another worker just before, so that this one isn't the cause.
+    fn record_quick_failure(&mut self, slot: TaskSlot, worker: WorkerSlot, now: TimePoint) -> bool {
+        let Some(task) = self.jobs.task_mut(slot) else {
+            return false;
+        };
+        if now.since(task.phase_since) >= QUICK_FAILURE_SPAN {
+            task.quick_failures = 0;
+            return false;
+        }
+        let elsewhere = task.avoided_worker.is_some_and(|avoided| avoided != worker);
+        let repeated = task.quick_failures > 0 && elsewhere;
+        task.quick_failures = task.quick_failures.saturating_add(1);
+        repeated
+    }
+
     /// Ends a job as failed, unless it has ended already.
     pub(super) fn fail_job(&mut self, slot: JobSlot, detail: String, now: TimePoint) {
         if self.has_job_ended(slot) {
--- a/sapphirewalk_core/src/coordinator/restart.rs
+++ b/sapphirewalk_core/src/coordinator/restart.rs
@@ -41,7 +41,7 @@
         round.begin_restarts();
         for restart in self.restart_steps(now).into_iter().take(ROUND_STEPS) {
             if !self.restarts.has_precedence(restart.since, now) {
-                break;
+                continue;
             }
             let most = if few { restart.ready } else { 1 };
             let before = round.placed_cpu_millis();
@@ -52,7 +52,8 @@
         round.end_restarts();
     }
 
-    /// The steps with restarts that may start now, in the order of their longest wait.
+    /// The steps with restarts that may start now, in the order of their longest wait; those that fit
+    /// nowhere come last.
     fn restart_steps(&self, now: TimePoint) -> Vec<RestartStep> {
         let mut steps: Vec<RestartStep> = Vec::new();
         for wait in self.restarts.waits() {
@@ -81,7 +82,7 @@
                 }),
             }
         }
-        steps.sort_by_key(|step| step.since);
+        steps.sort_by_key(|step| (self.restarts.is_passed_over(step.step, now), step.since));
         steps
     }
 
@@ -106,6 +107,7 @@
             let step = job.map(|job| &job.spec.steps[usize::from(restart.step.step)]);
             step.is_some_and(|step| !step.best_effort && !step.gang)
         });
+        let steps = steps.filter(|restart| !self.restarts.is_passed_over(restart.step, now));
         let steps: Vec<RestartStep> = steps.take(RESERVE_STEPS).collect();
         for restart in steps {
             let Some(wait) = self.reservations.wait(restart.step).copied() else {
@@ -123,7 +125,11 @@
                 wait,
             };
             self.reserve_step(&candidate, wanted, &mut Vec::new(), now);
-            vacancies -= wanted;
+            let reserved = self.reservations.step_count(restart.step) - held;
+            vacancies -= reserved;
+            if reserved == 0 {
+                self.restarts.pass_over(restart.step, now);
+            }
         }
     }
 
--- a/sapphirewalk_core/src/job_registry.rs
+++ b/sapphirewalk_core/src/job_registry.rs
@@ -125,6 +125,8 @@
     pub attempt: u32,
     /// Number of failed runs; unless the task is a service, the queue's `max_attempts` limits it.
     pub failures: u32,
+    /// Number of runs in a row that failed soon after their start, of a service task; not stored.
+    pub quick_failures: u32,
     /// Crashes of workers under the last runs.
     pub crash_history: CrashHistory,
     /// Checkpoint from which the next run resumes; empty to run from the start.
--- a/sapphirewalk_core/src/restart_queue.rs
+++ b/sapphirewalk_core/src/restart_queue.rs
@@ -7,6 +7,7 @@
 //! waited for longer get half of what becomes free, so that they are back in time.
 
 use crate::job_registry::TaskSlot;
+use crate::room_reservation::StepKey;
 use crate::time::TimePoint;
 use crate::time::TimeSpan;
 
@@ -14,8 +15,7 @@
 /// task of a service is back.
 const REPORT_WAIT: TimeSpan = TimeSpan::from_millis(3_000);
 
-/// Number of waiting restarts up to which all of them precede other work: about what two workers
-/// hold.
+/// Number of waiting restarts up to which all of them precede other work.
 pub const FEW_RESTARTS: usize = 8;
 /// Wait from which restarts precede other work although many wait: a third of the 6 s within which
 /// callers are guaranteed that a task of a service is back.
@@ -23,6 +23,10 @@
 /// Minimum interval between rounds that reserve room for restarts, since each looks at all workers.
 const RESERVE_INTERVAL: TimeSpan = TimeSpan::from_millis(50);
 
+/// How long restarts for which no room could be reserved let others pass. Those that fit nowhere
+/// would use up the attempts of each round otherwise.
+const PASS_SPAN: TimeSpan = TimeSpan::from_millis(500);
+
 /// A task of a service that waits for its next run.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct RestartWait {
@@ -42,6 +46,8 @@
     /// what that has got since.
     lead_cpu_millis: u64,
     next_reserve: TimePoint,
+    /// Steps for which no room could be reserved, and until when they let others pass; sorted.
+    passed_over: Vec<(StepKey, TimePoint)>,
 }
 
 impl RestartQueue {
@@ -96,6 +102,27 @@
         self.lead_cpu_millis = self.lead_cpu_millis.saturating_sub(cpu_millis);
     }
 
+    /// Lets other restarts pass those of a step, for which no room can be reserved.
+    pub fn pass_over(&mut self, step: StepKey, now: TimePoint) {
+        let until = now + PASS_SPAN;
+        self.passed_over.retain(|(_, until)| *until > now);
+        match self
+            .passed_over
+            .binary_search_by_key(&step, |entry| entry.0)
+        {
+            Ok(place) => self.passed_over[place].1 = until,
+            Err(place) => self.passed_over.insert(place, (step, until)),
+        }
+    }
+
+    /// Whether other restarts pass those of a step.
+    pub fn is_passed_over(&self, step: StepKey, now: TimePoint) -> bool {
+        let found = self
+            .passed_over
+            .binary_search_by_key(&step, |entry| entry.0);
+        found.is_ok_and(|place| self.passed_over[place].1 > now)
+    }
+
     /// Whether a round may reserve room now. It may not again at once.
     pub fn begin_reserving(&mut self, now: TimePoint) -> bool {
         let is_due = now >= self.next_reserve;
--- a/sapphirewalk_core/tests/coordinator/restarts.rs
+++ b/sapphirewalk_core/tests/coordinator/restarts.rs
@@ -231,3 +231,88 @@
     assert!(simulation.longest_restart_ms() >= 30_000);
     assert_eq!(simulation.violations, Vec::<String>::new());
 }
+
+/// Time in ms after which a task of a service is back whose worker left, beside `services` that have a
+/// task each that fits on no worker; `None` if it isn't back at the end.
+fn back_beside_stuck_restarts(services: u64) -> Option<u64> {
+    const MORE_WORKERS: usize = WORKERS + 1;
+    let mut simulation = ClusterSimulation::new(5, MORE_WORKERS, FaultPlan::default());
+    simulation.without_reservations = true;
+    for id in 1..=services {
+        let mut step = service_step(11, 100);
+        step.per_worker = 1;
+        simulation.submit(400, SERVICE + id, "service", vec![step]);
+    }
+    simulation.submit(500, SERVICE, "service", vec![service_step(9, 12_000)]);
+    for (id, at_ms) in (0..).zip(URGENT_MS.step_by(50)) {
+        let steps = vec![simulation::step(8, 3_700, 600, &[])];
+        simulation.submit(at_ms, id, "urgent", steps);
+    }
+    simulation.run_until(8_000);
+    let tasks = |simulation: &ClusterSimulation, worker: &usize| {
+        simulation.running_tasks_on(*worker, SERVICE)
+    };
+    let free = (0..MORE_WORKERS).find(|worker| tasks(&simulation, worker) == 0);
+    let free = free.unwrap();
+    simulation.leaving_workers = vec![free];
+    simulation.run_until(14_000);
+    let used = (0..MORE_WORKERS).find(|worker| *worker != free && tasks(&simulation, worker) == 1);
+    simulation.leaving_workers = vec![free, used.unwrap()];
+    let mut gone_ms = None;
+    for at_ms in (14_000..URGENT_MS.end).step_by(100) {
+        simulation.run_until(at_ms);
+        let running = simulation.running_tasks(SERVICE);
+        match gone_ms {
+            None if running < 9 => gone_ms = Some(at_ms),
+            Some(gone_ms) if running == 9 => return Some(at_ms - gone_ms),
+            _ => {}
+        }
+    }
+    None
+}
+
+/// Guards against restarts that fit nowhere and use up what others could have.
+#[test]
+fn restarts_that_fit_nowhere_keep_no_other_one_waiting() {
+    for services in [0, 3, 4, 6] {
+        let back_ms = back_beside_stuck_restarts(services);
+        assert!(
+            back_ms.is_some_and(|back_ms| back_ms <= BACK_WITHIN_MS),
+            "{services} services: back after {back_ms:?} ms"
+        );
+    }
+}
+
+/// Number of urgent tasks that start in 12 s, in which so many tasks of a service fail every 50 ms.
+fn urgent_starts_beside_crash_loop(tasks: u16) -> u32 {
+    let mut failing = Vec::new();
+    for at_ms in (8_000..20_000).step_by(50) {
+        failing.extend((0..tasks).map(|task| (SERVICE, task, at_ms)));
+    }
+    let plan = FaultPlan {
+        failing_services: failing,
+        ..FaultPlan::default()
+    };
+    let mut simulation = pressed_pool(3, "service", 10, plan);
+    let starts = |simulation: &ClusterSimulation| {
+        let starts = (0..280).map(|id| simulation.start_count(id));
+        starts.sum::<u32>()
+    };
+    simulation.run_until(8_000);
+    let before = starts(&simulation);
+    simulation.run_until(20_000);
+    starts(&simulation) - before
+}
+
+/// Guards against a service that fails at each start and takes the first place over and over.
+#[test]
+fn urgent_work_gets_no_less_room_beside_a_service_that_fails_at_each_start() {
+    let sound = urgent_starts_beside_crash_loop(0);
+    for tasks in [1, 4, 10] {
+        let starts = urgent_starts_beside_crash_loop(tasks);
+        assert!(
+            starts >= sound,
+            "{tasks} tasks fail: {starts} urgent starts, {sound} otherwise"
+        );
+    }
+}
