--- a/sapphirewalk/src/entry/rules.rs
+++ b/sapphirewalk/src/entry/rules.rs
@@ -18,9 +18,10 @@
 const FEED_WAIT: time::Duration = time::Duration::from_millis(1_000);
 /// Delay before a failed call is retried.
 const RETRY_DELAY: time::Duration = time::Duration::from_millis(120);
-/// A leader's long poll lasts this part of the bound on evacuations. The leader starts nothing while
-/// its view is older than 0.6 of the bound. For a bound of 5,000 ms, a poll of 500 ms, a dead one of
-/// 1,200 ms, a dead read and two retries leave 560 ms of the 3,000 ms to the read that succeeds.
+/// A leader's long poll lasts this part of the bound on evacuations. The leader starts nothing
+/// while its view is older than 0.6 of the bound. For a bound of 5,000 ms, a poll of 500 ms, a dead
+/// one of 1,200 ms, a dead read and two retries leave 560 ms of the 3,000 ms to the read that
+/// succeeds.
 const FEED_WAIT_SHARE: f64 = 0.1;
 /// Timeout for reading the table where evacuations have a bound. A slow store answers in 240 ms.
 const BOUNDED_READ_TIMEOUT: time::Duration = time::Duration::from_millis(500);
@@ -52,8 +53,8 @@
     }
 }
 
-/// Where evacuations have a bound, a failed poll is followed by a read, because the store answers it
-/// at once and a poll only at its end.
+/// Where evacuations have a bound, a failed poll is followed by a read, because the store answers
+/// it at once and a poll only at its end.
 fn step_after_failure(node: &EntryNode, failed: FollowStep) -> FollowStep {
     match node.settings.bounds.evacuation_ms {
         Some(_) => FollowStep::Read,
--- a/sapphirewalk/tests/entry/evacuation_view.rs
+++ b/sapphirewalk/tests/entry/evacuation_view.rs
@@ -106,8 +106,8 @@
     assert_eq!(requests(&tracker), [("a", 10, 12)]);
 }
 
-/// Guards against a view that counts as newer than it is: a long poll confirms it as of its sending,
-/// and an incomplete page doesn't confirm it.
+/// Guards against a view that counts as newer than it is: a long poll confirms it as of its
+/// sending, and an incomplete page doesn't confirm it.
 #[test]
 fn only_complete_pages_confirm_the_view_as_of_the_time_they_were_asked_for() {
     let mut tracker = EvacuationTracker::default();
--- a/sapphirewalk/tests/entry/fleet.rs
+++ b/sapphirewalk/tests/entry/fleet.rs
@@ -367,8 +367,8 @@
         String::from_utf8_lossy(&bytes).into_owned()
     }
 
-    /// Asserts that no worker got a second run of a task that it was running, and that no attempt was
-    /// started twice on all workers.
+    /// Asserts that no worker got a second run of a task that it was running, and that no attempt
+    /// was started twice on all workers.
     pub fn assert_no_duplicate_runs(&self) {
         let mut runs = collections::BTreeSet::new();
         for worker in &self.workers {
--- a/sapphirewalk_core/src/coordinator/crash.rs
+++ b/sapphirewalk_core/src/coordinator/crash.rs
@@ -20,8 +20,8 @@
 /// Score penalty of a worker for each task there that a crash during the trial would end.
 const TRIAL_RISK_PENALTY: f64 = 1.0;
 
-/// Time within which losses of workers count as simultaneous: a worker that ends without closing its
-/// connections is noticed up to this much later than others.
+/// Time within which losses of workers count as simultaneous: a worker that ends without closing
+/// its connections is noticed up to this much later than others.
 const COMMON_SPAN: TimeSpan = TimeSpan::from_millis(1_000);
 /// Losses at the same time, without a task that may be the cause, that don't count as common yet.
 const COMMON_LOSSES: usize = 2;
--- a/sapphirewalk_core/src/coordinator/place.rs
+++ b/sapphirewalk_core/src/coordinator/place.rs
@@ -412,8 +412,8 @@
         result.placed
     }
 
-    /// Steps whose predecessors are done and that have tasks to place now, unsorted. A partial round
-    /// leaves out those that can wait.
+    /// Steps whose predecessors are done and that have tasks to place now, unsorted. A partial
+    /// round leaves out those that can wait.
     fn waiting_steps(&mut self, partial: bool, now: TimePoint) -> Vec<WaitingStep> {
         let mut waiting = Vec::new();
         let mut placed: Vec<(JobSlot, u32, usize)> = Vec::new();
@@ -765,8 +765,8 @@
         scored.collect()
     }
 
-    /// Like [`Self::candidates`], but ends the scan once it has found enough to choose from. Another
-    /// scan starts where the last one ended.
+    /// Like [`Self::candidates`], but ends the scan once it has found enough to choose from.
+    /// Another scan starts where the last one ended.
     fn sampled_candidates(
         &mut self,
         request: &PlaceRequest<'_>,
--- a/sapphirewalk_core/src/coordinator/poll.rs
+++ b/sapphirewalk_core/src/coordinator/poll.rs
@@ -45,14 +45,15 @@
 const CRASH_LOOP_DELAY: TimeSpan = TimeSpan::from_millis(2_000);
 /// Consecutive failed runs after which a worker is quarantined.
 const FAILURE_LIMIT: u32 = 2;
-/// Time after which a failed run no longer counts. A worker that runs nothing but services has no runs
-/// that are done, and each of its tasks may fail now and then. It exceeds [`LONGEST_QUARANTINE`], so
-/// that a worker on which everything fails is quarantined again at its next failure.
+/// Time after which a failed run no longer counts. A worker that runs nothing but services has no
+/// runs that are done, and each of its tasks may fail now and then. It exceeds
+/// [`LONGEST_QUARANTINE`], so that a worker on which everything fails is quarantined again at its
+/// next failure.
 const FAILURE_MEMORY: TimeSpan = TimeSpan::from_millis(10_000);
 /// Duration of the first quarantine for failed runs; it doubles with each further failure.
 const FAILURE_QUARANTINE: TimeSpan = TimeSpan::from_millis(2_500);
-/// Longest quarantine for failed runs. A service task must be back after 6 s, and in a full pool the
-/// only room for it may be on the worker where it failed.
+/// Longest quarantine for failed runs. A service task must be back after 6 s, and in a full pool
+/// the only room for it may be on the worker where it failed.
 const LONGEST_QUARANTINE: TimeSpan = TimeSpan::from_millis(5_000);
 
 impl JobCoordinator {
@@ -490,8 +491,8 @@
         }
     }
 
-    /// Counts the failures in a row of a service task soon after its starts. Returns whether the task
-    /// has failed so on another worker just before, so that this one isn't the cause.
+    /// Counts the failures in a row of a service task soon after its starts. Returns whether the
+    /// task has failed so on another worker just before, so that this one isn't the cause.
     fn record_quick_failure(&mut self, slot: TaskSlot, worker: WorkerSlot, now: TimePoint) -> bool {
         let Some(task) = self.jobs.task_mut(slot) else {
             return false;
--- a/sapphirewalk_core/src/coordinator/relocate.rs
+++ b/sapphirewalk_core/src/coordinator/relocate.rs
@@ -22,8 +22,8 @@
 
 /// Time from a request until running tasks are moved. Most evacuations are over sooner.
 const MOVE_DELAY: TimeSpan = TimeSpan::from_millis(10_000);
-/// Most moves in one sweep, of which there is one in 100 ms, so that the stopped tasks don't compete
-/// with urgent work all at once.
+/// Most moves in one sweep, of which there is one in 100 ms, so that the stopped tasks don't
+/// compete with urgent work all at once.
 const SWEEP_MOVES: usize = 4;
 /// Remaining run time up to which a task with checkpoints stays where it is.
 const STAY_SPAN: TimeSpan = TimeSpan::from_millis(10_000);
--- a/sapphirewalk_core/src/coordinator/reserve.rs
+++ b/sapphirewalk_core/src/coordinator/reserve.rs
@@ -1,5 +1,5 @@
-//! Reservations of room for waiting steps: making them, ending them, and keeping other tasks off the
-//! room.
+//! Reservations of room for waiting steps: making them, ending them, and keeping other tasks off
+//! the room.
 //!
 //! It handles wide and large steps on a pool that small tasks fill. A step gets reservations only
 //! once it has waited and tasks with smaller demands were placed meanwhile. Where all demands are
@@ -63,7 +63,8 @@
         self.reservations.entries().len()
     }
 
-    /// Ends the reservations whose worker is unusable or has shrunk, or whose forecast was exceeded.
+    /// Ends the reservations whose worker is unusable or has shrunk, or whose forecast was
+    /// exceeded.
     pub(super) fn review_reservations(&mut self, now: TimePoint) {
         if self.reservations.entries().is_empty() {
             return;
@@ -241,8 +242,8 @@
         })
     }
 
-    /// Reserves room for up to `wanted` tasks of a step on the workers that have it soonest, at most
-    /// one more on each.
+    /// Reserves room for up to `wanted` tasks of a step on the workers that have it soonest, at
+    /// most one more on each.
     pub(super) fn reserve_step(
         &mut self,
         step: &ReserveCandidate,
--- a/sapphirewalk_core/src/coordinator/restart.rs
+++ b/sapphirewalk_core/src/coordinator/restart.rs
@@ -52,8 +52,8 @@
         round.end_restarts();
     }
 
-    /// The steps with restarts that may start now, in the order of their longest wait; those that fit
-    /// nowhere come last.
+    /// The steps with restarts that may start now, in the order of their longest wait; those that
+    /// fit nowhere come last.
     fn restart_steps(&self, now: TimePoint) -> Vec<RestartStep> {
         let mut steps: Vec<RestartStep> = Vec::new();
         for wait in self.restarts.waits() {
@@ -86,9 +86,9 @@
         steps
     }
 
-    /// Reserves room for restarts for which no gap has been large enough, also where other steps get
-    /// no reservations: urgent tasks would take each part of a gap otherwise. Best-effort steps and gangs
-    /// get none, as in [`Self::reserve_rooms`].
+    /// Reserves room for restarts for which no gap has been large enough, also where other steps
+    /// get no reservations: urgent tasks would take each part of a gap otherwise. Best-effort steps
+    /// and gangs get none, as in [`Self::reserve_rooms`].
     pub(super) fn reserve_restarts(&mut self, now: TimePoint) {
         let longest = self.restarts.longest_since();
         if longest.is_none_or(|since| now.since(since) < room_reservation::MIN_WAIT)
--- a/sapphirewalk_core/src/coordinator/stall.rs
+++ b/sapphirewalk_core/src/coordinator/stall.rs
@@ -23,8 +23,8 @@
 
 /// Time for which a worker with stalled or slow tasks gets no new tasks.
 const STALL_QUARANTINE: TimeSpan = TimeSpan::from_millis(2_000);
-/// Time for which the quarantine is renewed while slow tasks are left to finish. They may take long,
-/// and service tasks must be back after 6 s, however full the pool is.
+/// Time for which the quarantine is renewed while slow tasks are left to finish. They may take
+/// long, and service tasks must be back after 6 s, however full the pool is.
 const SLOW_RENEWAL_SPAN: TimeSpan = TimeSpan::from_millis(2_000);
 /// Speed limit in percent of full speed below which the progress of a best-effort task is not
 /// judged, since the limit may be what slows it.
@@ -75,8 +75,8 @@
         }
     }
 
-    /// Whether a worker has been quarantined for long because of slow tasks, and those that crawl there
-    /// now are left to finish.
+    /// Whether a worker has been quarantined for long because of slow tasks, and those that crawl
+    /// there now are left to finish.
     fn is_closed_for_long(
         &mut self,
         worker: WorkerSlot,
--- a/sapphirewalk_core/src/election_delay.rs
+++ b/sapphirewalk_core/src/election_delay.rs
@@ -14,8 +14,8 @@
 const DELAY_STEP: TimeSpan = TimeSpan::from_millis(35);
 /// A VM with less than this fraction of the largest known share of a core is small.
 const SMALL_VM_RATIO: f64 = 0.75;
-/// What a small VM waits before all others: the delays of the others, and the time between the first
-/// and the last heartbeat that VMs miss.
+/// What a small VM waits before all others: the delays of the others, and the time between the
+/// first and the last heartbeat that VMs miss.
 const SMALL_VM_DELAY: TimeSpan = TimeSpan::from_millis(600);
 /// Delay of the first election for each tenth of a core that a VM has less than a whole one.
 /// Callers arrive only seconds later, so there is time for the largest VM to become a candidate.
--- a/sapphirewalk_core/src/job_registry.rs
+++ b/sapphirewalk_core/src/job_registry.rs
@@ -188,8 +188,8 @@
     /// When a task of each step was first placed; none before. The due time if a former coordinator
     /// had placed one, since the time isn't stored.
     pub first_placed: Vec<Option<TimePoint>>,
-    /// Whether a task of each step may be waiting. False only if none is, so that placement need not
-    /// look at the tasks.
+    /// Whether a task of each step may be waiting. False only if none is, so that placement need
+    /// not look at the tasks.
     pub may_wait: Vec<bool>,
 }
 
--- a/sapphirewalk_core/src/leader_election.rs
+++ b/sapphirewalk_core/src/leader_election.rs
@@ -30,8 +30,8 @@
 const SMALL_VM_MARGIN: f64 = 6.0;
 /// Weight of the last estimate of the time of a read when a shorter read follows.
 const READ_SPAN_DECAY: f64 = 0.7;
-/// Refused connections in a row after which a process counts as ended. A process that is busy refuses
-/// some while it has more connections to accept than its listening socket queues.
+/// Refused connections in a row after which a process counts as ended. A process that is busy
+/// refuses some while it has more connections to accept than its listening socket queues.
 const REFUSALS_OF_ENDED: u32 = 2;
 /// A process that holds the row and doesn't lead counts as failed after this time.
 const TRANSITION_TIMEOUT: TimeSpan = TimeSpan::from_millis(4_000);
@@ -159,8 +159,8 @@
     Confirming(LeaderView),
     /// Reads the row of this leader, which is suspected.
     Suspecting(LeaderView),
-    /// Waits while this row should change, until the given time at most: a leader renews its row, also
-    /// one that writes it in a way that can't be decoded here.
+    /// Waits while this row should change, until the given time at most: a leader renews its row,
+    /// also one that writes it in a way that can't be decoded here.
     Observing(LeaderView, TimePoint),
     /// Reads the row again, which should have changed by the given time.
     Comparing(LeaderView, TimePoint),
@@ -405,8 +405,8 @@
         }
     }
 
-    /// Ends the uncertainty about a row that names this process, which doesn't lead: a write without
-    /// an answer took effect.
+    /// Ends the uncertainty about a row that names this process, which doesn't lead: a write
+    /// without an answer took effect.
     fn resolve_own(&mut self, own: LeaderView) -> ElectionStep {
         if election_delay::is_small(self.cpu_millis, self.largest_cpu) {
             self.phase = ElectionPhase::Releasing;
@@ -433,8 +433,8 @@
         }
     }
 
-    /// Whether the end of a connection tells the state of the process. A single refusal doesn't, nor
-    /// do those of a process that may be busy with the records.
+    /// Whether the end of a connection tells the state of the process. A single refusal doesn't,
+    /// nor do those of a process that may be busy with the records.
     fn is_settled(&mut self, holder: LeaderView, end: LinkEnd, now: TimePoint) -> bool {
         if end != LinkEnd::Refused {
             self.refused_links = None;
--- a/sapphirewalk_core/src/leadership_handback.rs
+++ b/sapphirewalk_core/src/leadership_handback.rs
@@ -1,7 +1,7 @@
 //! Decides when a leader on a small VM releases the leadership to a larger VM.
 //!
-//! A small VM acquires the leadership while no large one reaches the store. It lags under a load that
-//! a large one carries, so it hands the leadership back once the store is calm.
+//! A small VM acquires the leadership while no large one reaches the store. It lags under a load
+//! that a large one carries, so it hands the leadership back once the store is calm.
 
 use crate::election_delay;
 use crate::time::TimePoint;
@@ -24,7 +24,8 @@
 pub enum HandbackStep {
     /// Goes on leading.
     Keep,
-    /// Releases the leadership, because a VM with this share of a core, in thousandths, is connected.
+    /// Releases the leadership, because a VM with this share of a core, in thousandths, is
+    /// connected.
     Release(u64),
 }
 
--- a/sapphirewalk_core/src/restart_queue.rs
+++ b/sapphirewalk_core/src/restart_queue.rs
@@ -1,18 +1,18 @@
 //! The tasks of services that have had a run and wait for the next one.
 //!
-//! Users of a service lose a share of it for each task that is missing, whatever else the pool does.
-//! While few restarts wait, they precede all other work: most of these runs failed and left the very
-//! room that their successors need. After the loss of many workers the room is gone, and urgent work
-//! has objectives of about a second: restarts keep the rank of their step at first. Those that have
-//! waited for longer get half of what becomes free, so that they are back in time.
+//! Users of a service lose a share of it for each task that is missing, whatever else the pool
+//! does. While few restarts wait, they precede all other work: most of these runs failed and left
+//! the very room that their successors need. After the loss of many workers the room is gone, and
+//! urgent work has objectives of about a second: restarts keep the rank of their step at first.
+//! Those that have waited for longer get half of what becomes free, so that they are back in time.
 
 use crate::job_registry::TaskSlot;
 use crate::room_reservation::StepKey;
 use crate::time::TimePoint;
 use crate::time::TimeSpan;
 
-/// Wait from which a restart is reported: half of the 6 s within which callers are guaranteed that a
-/// task of a service is back.
+/// Wait from which a restart is reported: half of the 6 s within which callers are guaranteed that
+/// a task of a service is back.
 const REPORT_WAIT: TimeSpan = TimeSpan::from_millis(3_000);
 
 /// Number of waiting restarts up to which all of them precede other work.
@@ -83,8 +83,8 @@
         self.are_few() || (self.lead_cpu_millis == 0 && now.since(since) >= PATIENCE)
     }
 
-    /// Whether room may be reserved for a restart that waits since `since` and for which other steps
-    /// would wait for `min_wait`.
+    /// Whether room may be reserved for a restart that waits since `since` and for which other
+    /// steps would wait for `min_wait`.
     pub fn may_reserve(&self, since: TimePoint, min_wait: TimeSpan, now: TimePoint) -> bool {
         let wait = if self.are_few() { min_wait } else { PATIENCE };
         now.since(since) >= wait
--- a/sapphirewalk_core/tests/coordinator/restarts.rs
+++ b/sapphirewalk_core/tests/coordinator/restarts.rs
@@ -23,8 +23,8 @@
     step
 }
 
-/// A pool in which a service of a queue has tasks of 12 cores on `count` workers, and urgent tasks of
-/// 4 cores and 600 ms, 80 a second, press for the rest without end. Reservations are off.
+/// A pool in which a service of a queue has tasks of 12 cores on `count` workers, and urgent tasks
+/// of 4 cores and 600 ms, 80 a second, press for the rest without end. Reservations are off.
 fn pressed_pool(seed: u64, queue: &str, count: u16, plan: FaultPlan) -> ClusterSimulation {
     let mut simulation = ClusterSimulation::new(seed, WORKERS, plan);
     simulation.without_reservations = true;
@@ -63,8 +63,8 @@
     }
 }
 
-/// Guards against a service task of a less urgent queue that waits behind all more urgent queues, and
-/// for a leader that limits its starts.
+/// Guards against a service task of a less urgent queue that waits behind all more urgent queues,
+/// and for a leader that limits its starts.
 #[test]
 fn a_failed_service_task_of_a_less_urgent_queue_is_back_as_soon() {
     for (seed, lag_ms) in [(0, 0), (1, 800)] {
@@ -97,8 +97,8 @@
     }
 }
 
-/// Guards against urgent steps that nothing can make room for and that use up all attempts to preempt
-/// bulk tasks, so that a restart gets none.
+/// Guards against urgent steps that nothing can make room for and that use up all attempts to
+/// preempt bulk tasks, so that a restart gets none.
 #[test]
 fn a_restart_preempts_bulk_tasks_beside_urgent_steps_that_fit_nowhere() {
     let with_memory = |mut step: StepSpec, memory_mib: u64| {
@@ -232,8 +232,8 @@
     assert_eq!(simulation.violations, Vec::<String>::new());
 }
 
-/// Time in ms after which a task of a service is back whose worker left, beside `services` that have a
-/// task each that fits on no worker; `None` if it isn't back at the end.
+/// Time in ms after which a task of a service is back whose worker left, beside `services` that
+/// have a task each that fits on no worker; `None` if it isn't back at the end.
 fn back_beside_stuck_restarts(services: u64) -> Option<u64> {
     const MORE_WORKERS: usize = WORKERS + 1;
     let mut simulation = ClusterSimulation::new(5, MORE_WORKERS, FaultPlan::default());
--- a/sapphirewalk_core/tests/coordinator/simulation.rs
+++ b/sapphirewalk_core/tests/coordinator/simulation.rs
@@ -323,8 +323,8 @@
     pub crash_counts: collections::BTreeMap<TaskName, u32>,
     /// Number of starts of each task after it had crashed three workers.
     late_starts: collections::BTreeMap<TaskName, u32>,
-    /// Tasks of service steps with a limit that a stop order took from work, and that are not at work
-    /// again.
+    /// Tasks of service steps with a limit that a stop order took from work, and that are not at
+    /// work again.
     stopped_tasks: collections::BTreeSet<TaskName>,
     /// When each task of a service step with a limit was last at work.
     last_at_work: collections::BTreeMap<TaskName, u64>,
--- a/sapphirewalk_core/tests/leader_election/model.rs
+++ b/sapphirewalk_core/tests/leader_election/model.rs
@@ -57,8 +57,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct ElectionDay {
     pub slow: Vec<DaySpan>,
-    /// Spans in which answers of the store are lost, with a probability; half of the calls concerned
-    /// take effect seconds later.
+    /// Spans in which answers of the store are lost, with a probability; half of the calls
+    /// concerned take effect seconds later.
     pub losing: Vec<(DaySpan, f64)>,
     /// Times at which the leader is killed, in ms.
     pub leader_kills: Vec<u64>,
