--- a/review/stand_ins/src/cases.rs
+++ b/review/stand_ins/src/cases.rs
@@ -340,3 +340,60 @@
     ));
     Ok(over.is_empty())
 }
+
+/// Callers get 404 for a route that the configuration has: the open connections to the store have
+/// gone silent just before the change.
+pub fn silent(scene: &Scene) -> std::io::Result<bool> {
+    // `config_apply_ms` and `contact_ms` of the site.
+    const APPLY_S: f64 = 2.0;
+    const CONTACT_S: f64 = 3.0;
+    const CALLERS: u64 = 12;
+    let routes = [("mould-preview", 0, 2), ("casting-run", 2, 3)];
+    let deployment = scene.deploy(STATUS_S, &routes, true)?;
+    let plan = fleet::one_step(
+        "pour",
+        json!({"count": 1, "cpu": 1_000, "mem_mb": 1_000, "estimate_ms": 200}),
+        200,
+    );
+    // Some jobs at the same time at each entry VM, as in any burst.
+    let fleet = &deployment.fleet;
+    thread::scope(|scope| {
+        for number in 0..CALLERS * ENTRIES as u64 {
+            let plan = &plan;
+            let entry = (number % ENTRIES as u64) as usize;
+            scope.spawn(move || fleet.submit(entry, "casting-run", 0x4400_0000 + number, plan));
+        }
+    });
+    seconds(3.0);
+    if scene.trouble {
+        scene
+            .record
+            .line("the open connections to the store go silent");
+        deployment.store.silence();
+    }
+    let silent_at = scene.record.seconds();
+    seconds(0.5);
+    let added = ("glaze-check", 0, 2);
+    fleet::put_config(
+        &deployment.store,
+        &scene.record,
+        2,
+        &[routes[0], routes[1], added],
+        true,
+    );
+    let written_at = scene.record.seconds();
+    let from = (silent_at + CONTACT_S).max(written_at + APPLY_S) + 0.1;
+    seconds(from - scene.record.seconds());
+    let mut late = 0;
+    for _ in 0..24 {
+        for entry in 0..ENTRIES {
+            let (status, _) = deployment.fleet.call(entry, "GET", "/glaze-check/", "");
+            late += usize::from(status == 404);
+        }
+        seconds(0.5);
+    }
+    scene
+        .record
+        .line(&format!("{late} calls got 404 later than both bounds"));
+    Ok(late == 0)
+}
--- a/review/stand_ins/src/http.rs
+++ b/review/stand_ins/src/http.rs
@@ -12,6 +12,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
@@ -50,6 +51,9 @@
     pub address: SocketAddr,
     closed: Arc<AtomicBool>,
     streams: Arc<Mutex<Vec<TcpStream>>>,
+    /// Connections with a lower number are silent.
+    first_live: Arc<AtomicU64>,
+    opened: Arc<AtomicU64>,
 }
 
 impl Server {
@@ -64,6 +68,8 @@
         let closed = Arc::new(AtomicBool::new(false));
         let streams = Arc::new(Mutex::new(Vec::new()));
         let handler = Arc::new(handler);
+        let (first_live, opened) = (Arc::new(AtomicU64::new(0)), Arc::new(AtomicU64::new(0)));
+        let (shared_live, shared_opened) = (first_live.clone(), opened.clone());
         let (shared_closed, shared_streams) = (closed.clone(), streams.clone());
         thread::spawn(move || {
             while !shared_closed.load(Ordering::SeqCst) {
@@ -78,16 +84,29 @@
                 }
                 let handler = handler.clone();
                 let closed = shared_closed.clone();
-                thread::spawn(move || serve_connection(stream, &*handler, &closed));
+                let number = shared_opened.fetch_add(1, Ordering::SeqCst);
+                let first_live = shared_live.clone();
+                thread::spawn(move || {
+                    let is_silent = || number < first_live.load(Ordering::SeqCst);
+                    serve_connection(stream, &*handler, &closed, &is_silent);
+                });
             }
         });
         Ok(Self {
             address,
             closed,
             streams,
+            first_live,
+            opened,
         })
     }
 
+    /// Makes all open connections silent for good, without a reset. New ones work.
+    pub fn silence(&self) {
+        let opened = self.opened.load(Ordering::SeqCst);
+        self.first_live.store(opened, Ordering::SeqCst);
+    }
+
     /// Closes the listener and all connections, as when the process behind them is killed.
     pub fn close(&self) {
         self.closed.store(true, Ordering::SeqCst);
@@ -103,6 +122,7 @@
     stream: TcpStream,
     handler: &(dyn Fn(&Request) -> Answer + Send + Sync),
     closed: &AtomicBool,
+    is_silent: &dyn Fn() -> bool,
 ) {
     let Ok(mut writer) = stream.try_clone() else {
         return;
@@ -112,7 +132,15 @@
         if closed.load(Ordering::SeqCst) {
             return;
         }
-        let Some((status, body)) = handler(&request) else {
+        let answer = if is_silent() { None } else { handler(&request) };
+        if is_silent() {
+            // What is sent here reaches nobody, and nothing comes back.
+            while !closed.load(Ordering::SeqCst) {
+                thread::sleep(Duration::from_millis(200));
+            }
+            return;
+        }
+        let Some((status, body)) = answer else {
             let _ended = writer.shutdown(Shutdown::Both);
             return;
         };
--- a/review/stand_ins/src/main.rs
+++ b/review/stand_ins/src/main.rs
@@ -66,6 +66,7 @@
         "forgotten" => cases::forgotten(&scene)?,
         "flapping" => cases::flapping(&scene)?,
         "dropped_route" => cases::dropped_route(&scene)?,
+        "silent" => cases::silent(&scene)?,
         "reborn" => cases::reborn(&scene)?,
         _ => return Err(std::io::Error::other("no such case")),
     };
--- a/review/stand_ins/src/store.rs
+++ b/review/stand_ins/src/store.rs
@@ -48,7 +48,7 @@
 pub struct Store {
     pub address: SocketAddr,
     state: Arc<(Mutex<StoreState>, Condvar)>,
-    _server: Server,
+    server: Server,
 }
 
 impl Store {
@@ -62,7 +62,7 @@
         Ok(Arc::new(Self {
             address: server.address,
             state,
-            _server: server,
+            server,
         }))
     }
 
@@ -102,6 +102,11 @@
             .collect();
     }
 
+    /// Makes all open connections to the store silent for good.
+    pub fn silence(&self) {
+        self.server.silence();
+    }
+
     pub fn refused(&self) -> u64 {
         self.state.0.lock().unwrap().refused
     }
