Delete a job's own row before its progress

Cause: a job's progress was deleted first, with the leader's batch, and its own row afterwards, once and in other partitions. A deletion that failed, or a leader that ended in between, left a job without progress, which is what a job looks like that was just accepted. A read of the whole job table that overlapped a deletion listed such jobs too.

Ruled out: a lost answer to an end (all ends were taken note of), and a repeated submission (none).

Change: a job's own row and its cancellation are deleted first, and again each second until the store confirms it; the job stays in the registry until then. Its progress goes with a batch afterwards. Progress without a job starts nothing; the next leader deletes it, unless a row that it can't decode has the job's key. Identifiers of deleted jobs are remembered for a minute, against lists that are out of date. Deletions are chunked to the store's 100 entries per transaction.

--- a/sapphirewalk/src/entry/driver.rs
+++ b/sapphirewalk/src/entry/driver.rs
@@ -5,6 +5,7 @@
 use std::time;
 
 use futures::FutureExt;
+use futures::future;
 use sapphirewalk_core::coordinator::CommitBatch;
 use sapphirewalk_core::coordinator::DecisionLevel;
 use sapphirewalk_core::coordinator::DecisionRecord;
@@ -14,6 +15,7 @@
 use sapphirewalk_core::coordinator::OrderAnswer;
 use sapphirewalk_core::coordinator::PollAnswer;
 use sapphirewalk_core::coordinator::RunPhase;
+use sapphirewalk_core::job_spec::JobId;
 use sapphirewalk_core::leadership_handback::HandbackStep;
 use sapphirewalk_core::leadership_handback::LeadershipHandback;
 use sapphirewalk_core::time::TimePoint;
@@ -323,6 +325,13 @@
                 driver.meter.follow(LeaderWork::RecordCalls, commit).await;
             });
         }
+        Effect::DeleteRows(ids) => {
+            let driver = driver.clone();
+            tasks.spawn_local(async move {
+                let deletion = delete_rows(&driver, ids);
+                driver.meter.follow(LeaderWork::RecordCalls, deletion).await;
+            });
+        }
         Effect::Start {
             target,
             run,
@@ -477,13 +486,23 @@
     node.metrics.record_ms.record(node.now().since(sent_at));
     driver.committing.set(false);
     driver.send_event(Event::Committed(batch.number));
-    let removals = records::removal_changes(&batch.removed);
-    for change in removals {
-        // A failed removal isn't retried in this leadership. The rows stay until a later leader
-        // reads and removes them.
+}
+
+/// Deletes the rows of jobs past their retention, except their progress. Reports those of which the
+/// store confirmed it; the coordinator orders the others again.
+async fn delete_rows(driver: &LeaderDriver, ids: Vec<JobId>) {
+    let node = &driver.node;
+    let changes = records::deletion_changes(ids);
+    let calls = changes.into_iter().map(|(ids, change)| async move {
         let outcome = node.store.change(&change, BATCH_TIMEOUT).await;
-        node.record_store_outcome("forget_jobs", &outcome);
-    }
+        node.record_store_outcome("delete_rows", &outcome);
+        match outcome {
+            Ok(ChangeOutcome::Applied(_)) => ids,
+            Ok(ChangeOutcome::Conflict(_)) | Err(_) => Vec::new(),
+        }
+    });
+    let deleted = future::join_all(calls).await.concat();
+    driver.send_event(Event::RowsDeleted(deleted));
 }
 
 /// Reports to the coordinator that the predecessor has ended, once its process has ended or if it
--- a/sapphirewalk/src/entry/records.rs
+++ b/sapphirewalk/src/entry/records.rs
@@ -39,6 +39,9 @@
 /// time, which is 200 a second, but 3 a second while the store is 60 times as slow. The larger
 /// sites accept 37 jobs a second.
 const JOB_PARTITIONS: u64 = 16;
+/// Most jobs whose rows are deleted in one transaction. The store takes 100 entries, and a job has
+/// two rows.
+const JOBS_PER_DELETION: usize = 50;
 /// Key suffix of a cancellation row. It sorts after the key of the job's own row.
 const CANCEL_SUFFIX: &str = "-cancelled";
 /// Version of the value encoding that this program writes and reads, except for progress.
@@ -217,21 +220,32 @@
     change
 }
 
-/// The changes that remove the rows of jobs past their retention, one for each partition concerned.
-pub fn removal_changes(ids: &[JobId]) -> Vec<RowChange> {
-    (0..JOB_PARTITIONS)
-        .map(|partition| RowChange {
-            removed: ids
-                .iter()
-                .filter(|id| id.0 % JOB_PARTITIONS == partition)
-                .flat_map(|id| [job_location(*id), cancel_location(*id)])
-                .collect(),
-            ..RowChange::default()
+/// The changes that delete the rows of jobs past their retention, but not their progress. Each is
+/// returned with its jobs, which are of one partition.
+pub fn deletion_changes(mut ids: Vec<JobId>) -> Vec<(Vec<JobId>, RowChange)> {
+    ids.sort_unstable_by_key(|id| id.0 % JOB_PARTITIONS);
+    let partitions = ids.chunk_by(|one, other| one.0 % JOB_PARTITIONS == other.0 % JOB_PARTITIONS);
+    partitions
+        .flat_map(|ids| ids.chunks(JOBS_PER_DELETION))
+        .map(|ids| {
+            let rows = ids.iter();
+            let rows = rows.flat_map(|id| [job_location(*id), cancel_location(*id)]);
+            let change = RowChange {
+                removed: rows.collect(),
+                ..RowChange::default()
+            };
+            (ids.to_vec(), change)
         })
-        .filter(|change| !change.removed.is_empty())
         .collect()
 }
 
+/// The job that a row of the job table belongs to, whatever its value; none if the key names no
+/// job.
+fn job_of_key(key: &str) -> Option<JobId> {
+    let id = key.strip_suffix(CANCEL_SUFFIX).unwrap_or(key);
+    u64::from_str_radix(id, 16).ok().map(JobId)
+}
+
 /// Decodes a row of the job table. `None` for a deleted or unreadable row.
 pub fn parse_job_row(row: &StoredRow) -> Option<JobRow> {
     if row.deleted {
@@ -282,10 +296,12 @@
     let reads = partitions
         .iter()
         .map(|partition| store.read_partition(JOB_TABLE, partition, PART_READ_TIMEOUT));
+    let mut listed = Vec::new();
     for page in future::try_join_all(reads).await? {
         set.version = set.version.min(page.version);
         set.unnamed += page.unnamed;
         for row in &page.rows {
+            listed.extend(job_of_key(&row.key));
             match parse_job_row(row) {
                 Some(JobRow::Accepted(record)) => set.records.jobs.push(record),
                 Some(JobRow::Cancelled(id)) => set.records.cancelled.push(id),
@@ -297,8 +313,15 @@
         .read_partition(PROGRESS_TABLE, LEADER_PARTITION, PART_READ_TIMEOUT)
         .await?;
     set.unnamed += page.unnamed;
+    listed.sort_unstable();
     for row in &page.rows {
         match progress_row::decode(&row.value) {
+            // A leader that ended between the two deletions left it.
+            Some(progress)
+                if progress.state.is_final() && listed.binary_search(&progress.id).is_err() =>
+            {
+                set.records.forgotten.push(progress.id);
+            }
             Some(progress) => set.records.progress.push(progress),
             None => set.unreadable.push(row.key.clone()),
         }
--- a/sapphirewalk/tests/entry/fleet.rs
+++ b/sapphirewalk/tests/entry/fleet.rs
@@ -257,11 +257,37 @@
 
     /// Sets the share of a core of an entry VM, in cores, from its next start on.
     pub fn set_cpu_share(&self, number: usize, cpu_share: f64) {
+        self.change_settings(number, |settings| settings["cpu_share"] = json!(cpu_share));
+    }
+
+    /// Sets how long an entry VM keeps ended jobs, in seconds, from its next start on.
+    pub fn set_retention(&self, number: usize, retention_s: f64) {
+        self.change_settings(number, |settings| {
+            settings["bounds"]["retention_s"] = json!(retention_s);
+        });
+    }
+
+    fn change_settings(&self, number: usize, change: impl FnOnce(&mut Value)) {
         let path = &self.entries[number].settings;
         let text = fs::read_to_string(path).expect("the settings were written here");
-        let mut document: Value = serde_json::from_str(&text).expect("the settings are JSON");
-        document["cpu_share"] = json!(cpu_share);
-        fs::write(path, document.to_string()).expect("the test's folder is writable");
+        let mut settings: Value = serde_json::from_str(&text).expect("the settings are JSON");
+        change(&mut settings);
+        fs::write(path, settings.to_string()).expect("the test's folder is writable");
+    }
+
+    /// Kills an entry VM, and waits until it has started again, leads, and is ready.
+    pub async fn restart_leader(&mut self, number: usize) {
+        self.entries[number].restart();
+        self.until("the entry VM leads again", async |fleet| {
+            let log = fleet.entries[number].log();
+            let last = log.rfind("event=process_started").unwrap_or_default();
+            log[last..].contains("event=leadership_loaded")
+        })
+        .await;
+        self.until("the entry VM is ready", async |fleet| {
+            fleet.is_ready(number).await
+        })
+        .await;
     }
 
     /// The number of the entry VM that became the leader last, by the highest fencing token in the
--- a/sapphirewalk/tests/entry/main.rs
+++ b/sapphirewalk/tests/entry/main.rs
@@ -12,4 +12,5 @@
 mod odd_entries;
 #[path = "../../../platform/tests/odd/generator.rs"]
 mod odd_generator;
+mod retention;
 mod store;
--- a/sapphirewalk_core/src/coordinator/commit.rs
+++ b/sapphirewalk_core/src/coordinator/commit.rs
@@ -95,7 +95,8 @@
     pub(super) fn next_batch_at(&self) -> Option<TimePoint> {
         if self.commit.in_flight.is_some() {
             None
-        } else if self.dirty.is_empty() && self.removed.is_empty() && !self.commit.send_early {
+        } else if self.dirty.is_empty() && !self.retention.has_progress() && !self.commit.send_early
+        {
             Some(self.commit.next_renewal)
         } else {
             Some(self.commit.next_batch)
@@ -132,8 +133,7 @@
             rows.push(job.progress(|worker| workers.get(worker).listing.id.clone()));
         }
         let ends = self.written_ends();
-        let removable = (BATCH_ROWS - row_count).min(self.removed.len());
-        let removed = self.removed.drain(..removable).collect();
+        let removed = self.retention.take_progress(BATCH_ROWS - row_count);
         let learned = (now >= self.commit.next_learned).then(|| {
             self.commit.next_learned = now + LEARNED_INTERVAL;
             self.interference.export()
--- a/sapphirewalk_core/src/coordinator/event.rs
+++ b/sapphirewalk_core/src/coordinator/event.rs
@@ -127,6 +127,9 @@
     Cancelled(JobId),
     /// The batch with this number was committed.
     Committed(u64),
+    /// An attempt to delete the rows of jobs has ended. Contains those of which the store confirmed
+    /// it.
+    RowsDeleted(Vec<JobId>),
     /// A poll was answered or timed out.
     Polled {
         /// Target of the poll.
@@ -180,7 +183,8 @@
     pub number: u64,
     /// New progress of jobs whose stored progress is out of date.
     pub rows: Vec<JobProgress>,
-    /// Jobs past their retention, whose rows are to be deleted.
+    /// Jobs past their retention, whose progress is to be deleted. Their own rows are deleted
+    /// already.
     pub removed: Vec<JobId>,
     /// The interference model, for a successor; `None` if it is not due to be written.
     pub learned: Option<Vec<LearnedImage>>,
@@ -218,6 +222,9 @@
 pub enum Effect {
     /// Write a batch to the store.
     Commit(CommitBatch),
+    /// Delete the rows of jobs past their retention and of their cancellations, but not their
+    /// progress. Answered by [`Event::RowsDeleted`].
+    DeleteRows(Vec<JobId>),
     /// Order a worker to start a run.
     Start {
         /// Worker that is to run it.
--- a/sapphirewalk_core/src/coordinator/mod.rs
+++ b/sapphirewalk_core/src/coordinator/mod.rs
@@ -24,6 +24,7 @@
 mod relocate;
 mod reserve;
 mod restart;
+mod retention;
 mod stall;
 
 pub use event::CommitBatch;
@@ -109,8 +110,7 @@
     workers: WorkerRegistry,
     interference: InterferenceModel,
     dirty: WriteQueue,
-    /// Jobs past their retention whose rows are still to be deleted from the store.
-    removed: Vec<JobId>,
+    retention: retention::RetentionState,
     commit: commit::CommitState,
     poll_queue: poll_queue::PollQueue,
     leader_lag: LeaderLag,
@@ -179,7 +179,7 @@
             workers: WorkerRegistry::default(),
             interference: InterferenceModel::default(),
             dirty: WriteQueue::default(),
-            removed: Vec::new(),
+            retention: retention::RetentionState::new(now),
             commit: commit::CommitState::new(now),
             poll_queue: poll_queue::PollQueue::default(),
             leader_lag: LeaderLag::default(),
@@ -279,6 +279,7 @@
             Event::Stored(record) => self.on_stored(record, now),
             Event::Cancelled(id) => self.on_cancelled(id, now),
             Event::Committed(number) => self.on_committed(number, now),
+            Event::RowsDeleted(ids) => self.on_rows_deleted(&ids, now),
             Event::Polled {
                 worker,
                 deadline_ms,
@@ -465,6 +466,10 @@
 
     fn on_stored(&mut self, record: JobRecord, now: TimePoint) {
         let id = record.id;
+        if self.was_forgotten(id) {
+            self.log("job_repeated", Some(id), "cause=forgotten".to_owned());
+            return;
+        }
         if let Err(fault) = record.spec.check() {
             self.log("job_invalid", Some(id), format!("cause={fault:?}"));
             return;
@@ -659,29 +664,14 @@
         }
     }
 
-    /// Begins due occurrences, expires leases, resends orders, moves evacuated tasks and removes
+    /// Begins due occurrences, expires leases, resends orders, moves evacuated tasks and deletes
     /// jobs past their retention.
     fn sweep(&mut self, now: TimePoint) {
         self.jobs.drop_ended();
-        let mut expired = Vec::new();
-        let mut due = Vec::new();
-        for (slot, job) in self.jobs.iter() {
-            if job.state.is_final() {
-                if job.occurrences.is_empty()
-                    && !job.dirty
-                    && now.since(job.ended_at) > self.limits.retention
-                {
-                    expired.push((slot, job.id));
-                }
-            } else if !job.all_begun() {
-                due.push(slot);
-            }
-        }
-        for (slot, id) in expired {
-            self.jobs.remove(slot);
-            self.removed.push(id);
-            self.log("job_forgotten", Some(id), String::new());
-        }
+        self.delete_expired_jobs(now);
+        let open = self.jobs.iter_open();
+        let due = open.filter(|(_, job)| !job.all_begun());
+        let due: Vec<JobSlot> = due.map(|(slot, _)| slot).collect();
         for slot in due {
             if let Some(job) = self.jobs.get_mut(slot) {
                 let before = job.next_occurrence;
--- a/sapphirewalk_core/src/coordinator/recover.rs
+++ b/sapphirewalk_core/src/coordinator/recover.rs
@@ -32,6 +32,8 @@
     pub learned: Vec<LearnedImage>,
     /// Workers to which the predecessor granted no more leases.
     pub silent: Vec<SilentWorker>,
+    /// Jobs whose own rows are deleted and whose progress isn't yet.
+    pub forgotten: Vec<JobId>,
 }
 
 impl JobCoordinator {
@@ -44,7 +46,9 @@
             cancelled,
             learned,
             silent,
+            forgotten,
         } = records;
+        self.retention.add_progress(forgotten);
         let images = learned.len();
         self.interference.import(learned, now);
         progress.sort_unstable_by_key(|row| row.id);
--- a/sapphirewalk_core/tests/coordinator/main.rs
+++ b/sapphirewalk_core/tests/coordinator/main.rs
@@ -16,6 +16,7 @@
 mod progress;
 mod repeated_stop;
 mod restarts;
+mod retention;
 mod room;
 mod service_load;
 mod service_restarts;
--- a/sapphirewalk_core/tests/coordinator/malformed.rs
+++ b/sapphirewalk_core/tests/coordinator/malformed.rs
@@ -163,6 +163,7 @@
                 percent,
                 answer: self.order_answer(),
             }),
+            Effect::DeleteRows(ids) => Some(Event::RowsDeleted(ids)),
             Effect::StepDown | Effect::Log(_) => None,
         }
     }
@@ -350,6 +351,7 @@
                         answer,
                     });
                 }
+                Effect::DeleteRows(ids) => events.push(Event::RowsDeleted(ids)),
                 Effect::Pace { .. } | Effect::StepDown | Effect::Log(_) => {}
             }
         }
--- a/sapphirewalk_core/tests/coordinator/repeated_stop.rs
+++ b/sapphirewalk_core/tests/coordinator/repeated_stop.rs
@@ -166,7 +166,7 @@
                     answer,
                 })
             }
-            Effect::Pace { .. } | Effect::StepDown | Effect::Log(_) => None,
+            Effect::DeleteRows(_) | Effect::Pace { .. } | Effect::StepDown | Effect::Log(_) => None,
         }
     }
 }
--- a/sapphirewalk_core/tests/coordinator/simulation.rs
+++ b/sapphirewalk_core/tests/coordinator/simulation.rs
@@ -55,6 +55,8 @@
 /// Time from a stop order to the end of the run, unless a test sets another.
 const STOP_DELAY_MS: u64 = 300;
 
+/// How long an ended job remains available, unless a simulation sets another time.
+const RETENTION_MS: u64 = 120_000;
 /// Time without work after which a task counts as unavailable, whatever the cause.
 const NOTICE_MS: u64 = 5_500;
 
@@ -150,6 +152,10 @@
     pub evacuation_bound_ms: Option<u64>,
     /// Spans in which leaders can't read the requests: from, to.
     pub unread_spans: Vec<(u64, u64)>,
+    /// Spans in which the partitions of the job table accept no change: from, to.
+    pub job_table_outages: Vec<(u64, u64)>,
+    /// Time from the order to delete jobs to the deletion, in milliseconds.
+    pub deletion_ms: u64,
 }
 
 /// Description of a violated invariant.
@@ -221,6 +227,8 @@
         /// Whether the confirmation comes at once instead of 900 ms later.
         answered: bool,
     },
+    /// The rows of jobs are deleted.
+    DeleteRows(usize, Vec<JobId>),
     Wake(usize),
     /// A leader whose work takes time handles what has arrived.
     Turn(usize),
@@ -385,6 +393,8 @@
     pub longest_unacknowledged_ms: u64,
     /// Longest lease that workers grant, in milliseconds.
     pub longest_lease_ms: u64,
+    /// How long an ended job remains available, in milliseconds.
+    pub retention_ms: u64,
     /// Whether a poll's fencing token counts from its arrival instead of its answer.
     pub fences_on_arrival: bool,
     /// Runs that ended because their worker's lease did.
@@ -516,6 +526,7 @@
             commit_ms: 0,
             longest_unacknowledged_ms: 0,
             longest_lease_ms: LONGEST_LEASE_MS,
+            retention_ms: RETENTION_MS,
             fences_on_arrival: false,
             lapsed_runs: 0,
             leader_lag_ms: 0,
@@ -714,6 +725,7 @@
                 batch,
                 answered,
             } => self.commit(leader, batch, answered),
+            Action::DeleteRows(leader, ids) => self.delete_rows(leader, ids),
             Action::Deliver {
                 leader,
                 worker,
@@ -787,7 +799,7 @@
         let fence = self.store_fence;
         let limits = CoordinatorLimits {
             longest_lease: TimeSpan::from_millis(self.longest_lease_ms),
-            retention: TimeSpan::from_secs(120),
+            retention: TimeSpan::from_millis(self.retention_ms),
             harm_tolerance: TimeSpan::from_millis(self.harm_tolerance_ms),
             service_lookahead: self.service_lookahead,
             evacuation_bound: self.plan.evacuation_bound_ms.map(TimeSpan::from_millis),
@@ -805,6 +817,7 @@
                 cancelled: self.cancelled.clone(),
                 learned: self.learned.clone(),
                 silent: self.silent.clone(),
+                forgotten: self.progress_without_job(),
             };
             coordinator.restore(records, now);
         }
@@ -1049,6 +1062,11 @@
                 );
                 return;
             }
+            Effect::DeleteRows(ids) => {
+                let at = self.now_ms + self.plan.deletion_ms.max(5);
+                self.schedule(at, Action::DeleteRows(leader, ids));
+                return;
+            }
             Effect::Start {
                 target,
                 run,
@@ -1173,12 +1191,55 @@
             }
             self.progress.insert(row.id, row);
         }
+        for id in batch.removed {
+            self.progress.remove(&id);
+        }
         let delay = if answered { 2 } else { 900 };
         let at = self.now_ms + delay;
         let event = Event::Committed(batch.number);
         self.schedule(at, Action::Answer { leader, event });
     }
 
+    /// Deletes the rows of jobs from the job table, which needs no leadership.
+    fn delete_rows(&mut self, leader: usize, ids: Vec<JobId>) {
+        let elapsed_ms = self.now_ms - START_MS;
+        let mut outages = self.plan.job_table_outages.iter();
+        let deleted = if outages.any(|(from, to)| (*from..*to).contains(&elapsed_ms)) {
+            Vec::new()
+        } else {
+            self.jobs.retain(|job| !ids.contains(&job.id));
+            self.cancelled.retain(|id| !ids.contains(id));
+            ids
+        };
+        let event = Event::RowsDeleted(deleted);
+        self.schedule(self.now_ms + 2, Action::Answer { leader, event });
+    }
+
+    /// Jobs with recorded progress whose own rows are deleted.
+    fn progress_without_job(&self) -> Vec<JobId> {
+        let ids = self.progress.keys();
+        let is_stored = |id: &JobId| self.jobs.iter().any(|job| job.id == *id);
+        ids.filter(|id| !is_stored(id)).copied().collect()
+    }
+
+    /// Number of rows of jobs, and of rows of their progress, in the store.
+    pub fn stored_rows(&self) -> (usize, usize) {
+        (self.jobs.len(), self.progress.len())
+    }
+
+    /// Repeats the notification of a job, as a reader of an outdated list would.
+    pub fn repeat_submission(&mut self, at_ms: u64, record: JobRecord) {
+        let event = Event::Stored(record);
+        let leader = self.leaders.len() - 1;
+        self.schedule(START_MS + at_ms, Action::Answer { leader, event });
+    }
+
+    /// The stored record of a job.
+    pub fn job_record(&self, id: u64) -> JobRecord {
+        let job = self.jobs.iter().find(|job| job.id == JobId(id));
+        job.expect("the job is stored").clone()
+    }
+
     fn check_completed(&mut self, id: JobId) {
         let job = self.jobs.iter().find(|job| job.id == id);
         let spec = job.expect("only accepted jobs complete").spec.clone();
