Keep the terms of a job's queue while it isn't configured

Cause: the rule of a queue that isn't configured was replaced by a fixed one with three attempts and the highest priority. A successor that takes over while the queue is left out, or before it has the configuration, decided by the same rule.

Change: a job keeps its queue's terms (priority, attempts, objective). They are stored after the job's value in its row, where earlier versions ignore them, and follow the configuration as long as it has the queue. The fixed rule is left for jobs that an earlier version accepted.

Ruled out: waiting until the queue is configured again, since it may be removed for good.

Tests: a_job_keeps_its_attempts_while_its_queue_is_left_out failed before (Failed after 3 starts, 5 allowed), a_job_gets_no_attempt_too_many_while_its_queue_is_left_out failed before (a start after 2 failures), a_leader_that_never_knew_a_queue_grants_its_attempts failed before (3 starts, 2 are right).

--- a/sapphirewalk/src/entry/callers.rs
+++ b/sapphirewalk/src/entry/callers.rs
@@ -195,6 +195,7 @@
         pool: queue.pool.clone(),
         spec,
         accepted_at: received_at,
+        terms: Some(queue.into()),
     };
     if !node.store_is_reachable() {
         return unavailable(node, Some(id), "store_lost");
--- a/sapphirewalk/src/entry/peer.rs
+++ b/sapphirewalk/src/entry/peer.rs
@@ -327,6 +327,7 @@
                 pool,
                 spec,
                 accepted_at,
+                terms: None,
             };
             // The receiver is closed only if the leadership has just been released.
             let _sent = leader.events.send(Event::Stored(record));
--- a/sapphirewalk/src/entry/records.rs
+++ b/sapphirewalk/src/entry/records.rs
@@ -12,6 +12,8 @@
 use sapphirewalk_core::job_spec::JobSpec;
 use sapphirewalk_core::progress_row;
 use sapphirewalk_core::time::TimePoint;
+use sapphirewalk_core::time::TimeSpan;
+use sapphirewalk_core::work_rule::QueueTerms;
 use sapphirewalk_platform::store::RowChange;
 use sapphirewalk_platform::store::RowLocation;
 use sapphirewalk_platform::store::StoreClient;
@@ -80,6 +82,62 @@
     accepted_at: TimePoint,
 }
 
+/// Terms of an accepted job's queue, which follow the [`StoredJob`] in its row. An earlier version
+/// doesn't write them, and ignores them when it reads a row.
+#[derive(Debug, Deserialize, Serialize)]
+struct StoredTerms {
+    priority: u32,
+    max_attempts: u32,
+    slowdown_factor: f64,
+    target_latency: TimeSpan,
+}
+
+impl From<QueueTerms> for StoredTerms {
+    fn from(terms: QueueTerms) -> Self {
+        let QueueTerms {
+            priority,
+            max_attempts,
+            slowdown_factor,
+            target_latency,
+        } = terms;
+        Self {
+            priority,
+            max_attempts,
+            slowdown_factor,
+            target_latency,
+        }
+    }
+}
+
+impl TryFrom<StoredTerms> for QueueTerms {
+    type Error = TermsFault;
+
+    fn try_from(stored: StoredTerms) -> Result<Self, TermsFault> {
+        let StoredTerms {
+            priority,
+            max_attempts,
+            slowdown_factor,
+            target_latency,
+        } = stored;
+        if !(slowdown_factor.is_finite() && slowdown_factor >= 0.0) {
+            return Err(TermsFault::Slowdown);
+        }
+        Ok(Self {
+            priority,
+            max_attempts,
+            slowdown_factor,
+            target_latency,
+        })
+    }
+}
+
+/// Why stored terms of a queue can't be used.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum TermsFault {
+    /// The slowdown factor is no positive number.
+    Slowdown,
+}
+
 /// A decoded row of the job table.
 #[derive(Clone, Debug)]
 pub enum JobRow {
@@ -160,22 +218,31 @@
 
 /// Decodes a value. `None` if its encoding has another version or the bytes don't fit.
 pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Option<T> {
+    decode_first(bytes).map(|(value, _)| value)
+}
+
+/// Like [`decode`], with the bytes that follow the value.
+fn decode_first<T: DeserializeOwned>(bytes: &[u8]) -> Option<(T, &[u8])> {
     let (version, rest) = bytes.split_first()?;
     if *version != LAYOUT_VERSION {
         return None;
     }
-    postcard::from_bytes(rest).ok()
+    postcard::take_from_bytes(rest).ok()
 }
 
 /// The change that stores an accepted job. It conflicts if the job is already stored.
 pub fn accept_change(record: &JobRecord) -> RowChange {
     let location = job_location(record.id);
-    let value = encode(&StoredJob {
+    let job = StoredJob {
         queue: record.queue.clone(),
         pool: record.pool.clone(),
         spec: record.spec.clone(),
         accepted_at: record.accepted_at,
-    });
+    };
+    let value = match record.terms {
+        Some(terms) => encode(&(job, StoredTerms::from(terms))),
+        None => encode(&job),
+    };
     RowChange {
         expected: vec![(location.clone(), 0)],
         written: vec![(location, value)],
@@ -256,13 +323,15 @@
         return Some(JobRow::Cancelled(JobId(id)));
     }
     let id = u64::from_str_radix(&row.key, 16).ok()?;
-    let stored: StoredJob = decode(&row.value)?;
+    let (stored, rest) = decode_first::<StoredJob>(&row.value)?;
+    let terms = postcard::from_bytes::<StoredTerms>(rest).ok();
     Some(JobRow::Accepted(JobRecord {
         id: JobId(id),
         queue: stored.queue,
         pool: stored.pool,
         spec: stored.spec,
         accepted_at: stored.accepted_at,
+        terms: terms.and_then(|terms| terms.try_into().ok()),
     }))
 }
 
--- a/sapphirewalk/tests/entry/jobs.rs
+++ b/sapphirewalk/tests/entry/jobs.rs
@@ -1,6 +1,7 @@
 //! Jobs from submission to their final state, and invalid requests.
 
 use hyper::Method;
+use sapphirewalk_platform::store;
 
 use crate::fleet;
 use crate::fleet::EntryFleet;
@@ -176,3 +177,37 @@
     }
     fleet.until_state(0, 12, "completed").await;
 }
+
+/// Guards against a job that gets other attempts than its queue allows, because its leader has never
+/// known the queue.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leader_that_never_knew_a_queue_grants_its_attempts() {
+    let mut fleet = EntryFleet::start("dropped", 1).await;
+    for number in 0..fleet.workers.len() {
+        fleet
+            .store
+            .remove(store::WORKER_TABLE, &format!("w{number}"));
+    }
+    fleet
+        .store
+        .put_rules_with_limit(2, &[("bulk", 2), ("urgent", 0)], 2);
+    fleet.restart_leader(0).await;
+    // A run of 0 ms fails.
+    assert_eq!(fleet.submit(0, 610, 0, &[1]).await, 200);
+    fleet.store.put_rules_with_limit(3, &[("urgent", 0)], 2);
+    fleet.restart_leader(0).await;
+    for worker in &fleet.workers {
+        worker.register(&fleet.store, "ready");
+    }
+    fleet
+        .until("both attempts have started", async |fleet| {
+            fleet.starts(610) >= 2
+        })
+        .await;
+    tokio::time::sleep(std::time::Duration::from_millis(1_500)).await;
+    assert_eq!(fleet.starts(610), 2);
+    fleet
+        .store
+        .put_rules_with_limit(4, &[("bulk", 2), ("urgent", 0)], 2);
+    fleet.until_state(0, 610, "failed").await;
+}
--- a/sapphirewalk_core/src/coordinator/mod.rs
+++ b/sapphirewalk_core/src/coordinator/mod.rs
@@ -70,6 +70,7 @@
 use crate::time::TimePoint;
 use crate::time::TimeSpan;
 use crate::work_rule::QueueRule;
+use crate::work_rule::QueueTerms;
 use crate::work_rule::WorkRules;
 use crate::worker_registry::WorkerListing;
 use crate::worker_registry::WorkerRegistry;
@@ -411,17 +412,20 @@
             .count()
     }
 
-    /// The rule of a job's queue. If the queue is no longer configured, a fallback with the pool
-    /// that was stored with the job.
+    /// The rule of a job's queue. If the queue isn't configured, the job's terms, with the pool that
+    /// was stored with the job.
     fn queue_rule(&self, job: &JobEntry) -> Cow<'_, QueueRule> {
         if let Some(rule) = self.rules.queue(&job.queue) {
             return Cow::Borrowed(rule);
         }
+        let terms = job.terms.unwrap_or(FALLBACK_TERMS);
         Cow::Owned(QueueRule {
             name: job.queue.clone(),
             pool: job.pool.clone(),
-            max_attempts: FALLBACK_ATTEMPTS,
-            slowdown_factor: FALLBACK_SLOWDOWN,
+            priority: terms.priority,
+            max_attempts: terms.max_attempts,
+            slowdown_factor: terms.slowdown_factor,
+            target_latency: terms.target_latency,
             ..QueueRule::default()
         })
     }
@@ -470,6 +474,10 @@
             self.log("job_repeated", Some(id), "cause=forgotten".to_owned());
             return;
         }
+        if self.jobs.find(id).is_some() {
+            self.complete_terms(&record);
+            return;
+        }
         if let Err(fault) = record.spec.check() {
             self.log("job_invalid", Some(id), format!("cause={fault:?}"));
             return;
@@ -495,27 +503,48 @@
     /// An entry for a job of which nothing has run.
     fn new_job(&mut self, record: JobRecord, now: TimePoint) -> JobEntry {
         let mut job = JobEntry::new(record, now, |name| self.interference.intern(name));
-        let rule = self.queue_rule(&job);
-        let (priority, pool) = (rule.priority, rule.pool.clone());
-        job.priority = priority;
+        let (terms, pool) = self.rule_of(&job);
+        job.terms = terms;
+        job.priority = terms.unwrap_or(FALLBACK_TERMS).priority;
         job.pool_key = self.workers.intern_pool(&pool);
         job
     }
 
-    /// Sets a job's priority and pool from the rule of its queue.
+    /// The terms by which a job runs, if they are known, and the pool of its queue.
+    fn rule_of(&self, job: &JobEntry) -> (Option<QueueTerms>, String) {
+        match self.rules.queue(&job.queue) {
+            Some(rule) => (Some(rule.into()), rule.pool.clone()),
+            None => (job.terms, job.pool.clone()),
+        }
+    }
+
+    /// Sets a job's terms, priority and pool from the rule of its queue.
     fn apply_rule(&mut self, slot: JobSlot) {
         let Some(job) = self.jobs.get(slot) else {
             return;
         };
-        let rule = self.queue_rule(job);
-        let (priority, pool) = (rule.priority, rule.pool.clone());
+        let (terms, pool) = self.rule_of(job);
         let pool_key = self.workers.intern_pool(&pool);
         if let Some(job) = self.jobs.get_mut(slot) {
-            job.priority = priority;
+            job.terms = terms;
+            job.priority = terms.unwrap_or(FALLBACK_TERMS).priority;
             job.pool_key = pool_key;
         }
     }
 
+    /// Completes a known job by a record of it: a peer reports a job without its terms, and the
+    /// store's feed delivers them.
+    fn complete_terms(&mut self, record: &JobRecord) {
+        let Some(slot) = self.jobs.find(record.id) else {
+            return;
+        };
+        let job = self.jobs.get_mut(slot);
+        if let Some(job) = job.filter(|job| job.terms.is_none()) {
+            job.terms = record.terms;
+            self.apply_rule(slot);
+        }
+    }
+
     fn on_cancelled(&mut self, id: JobId, now: TimePoint) {
         let Some(slot) = self.jobs.find(id) else {
             return;
@@ -703,9 +732,10 @@
 /// Low bits of a fencing token that hold the number of a worker's ended incarnations. The next
 /// incarnation thus rejects orders that were meant for an earlier one.
 const INCARNATION_BITS: u32 = 16;
-/// Failed runs allowed per task if the job's queue is no longer configured; the users' queues allow
-/// 2 to 4.
-const FALLBACK_ATTEMPTS: u32 = 3;
-/// Slowdown factor if the job's queue is no longer configured: the same as deployments set for bulk
-/// queues.
-const FALLBACK_SLOWDOWN: f64 = 2.0;
+/// Terms of a job whose queue isn't configured and that an earlier version accepted.
+const FALLBACK_TERMS: QueueTerms = QueueTerms {
+    priority: 0,
+    max_attempts: 3,
+    slowdown_factor: 2.0,
+    target_latency: TimeSpan::ZERO,
+};
--- a/sapphirewalk_core/src/job_registry.rs
+++ b/sapphirewalk_core/src/job_registry.rs
@@ -20,6 +20,7 @@
 use crate::run_progress::RunProgress;
 use crate::time::TimePoint;
 use crate::time::TimeSpan;
+use crate::work_rule::QueueTerms;
 use crate::worker_registry::PoolKey;
 use crate::worker_registry::WorkerSlot;
 
@@ -51,6 +52,9 @@
     pub spec: JobSpec,
     /// When an entry VM accepted the job; occurrence 0 of an unscheduled job is due then.
     pub accepted_at: TimePoint,
+    /// Terms of the queue at acceptance; none if an earlier version accepted the job, or if a peer
+    /// reports it.
+    pub terms: Option<QueueTerms>,
 }
 
 /// Lifecycle state of a job, as reported to callers.
@@ -202,6 +206,8 @@
     pub queue: String,
     /// Worker pool of the queue at acceptance.
     pub pool: String,
+    /// Terms of the queue when it was last configured; none if that isn't known.
+    pub terms: Option<QueueTerms>,
     /// Priority of the queue by the rules in force; 0 comes first.
     pub priority: u32,
     /// Worker pool of the queue by the rules in force.
@@ -419,6 +425,7 @@
             pool,
             spec,
             accepted_at,
+            terms,
         } = record;
         let images = spec
             .steps
@@ -436,6 +443,7 @@
             id,
             queue,
             pool,
+            terms,
             priority: 0,
             pool_key: PoolKey::default(),
             spec: rc::Rc::new(spec),
--- a/sapphirewalk_core/src/work_rule.rs
+++ b/sapphirewalk_core/src/work_rule.rs
@@ -39,6 +39,30 @@
     pub advice: Option<AdviceRule>,
 }
 
+/// What a job keeps of its queue's rule, for the time when the queue isn't configured.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct QueueTerms {
+    /// Scheduling priority; 0 comes first.
+    pub priority: u32,
+    /// Number of failed runs of one task after which its job fails.
+    pub max_attempts: u32,
+    /// Factor of the objective, which is the critical path times this plus `target_latency`.
+    pub slowdown_factor: f64,
+    /// Constant part of the objective, see `slowdown_factor`.
+    pub target_latency: TimeSpan,
+}
+
+impl From<&QueueRule> for QueueTerms {
+    fn from(rule: &QueueRule) -> Self {
+        Self {
+            priority: rule.priority,
+            max_attempts: rule.max_attempts,
+            slowdown_factor: rule.slowdown_factor,
+            target_latency: rule.target_latency,
+        }
+    }
+}
+
 /// Timing, for one queue, of a service that approves workers before they run a step.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct AdviceRule {
--- a/sapphirewalk_core/tests/coordinator/main.rs
+++ b/sapphirewalk_core/tests/coordinator/main.rs
@@ -5,6 +5,7 @@
 mod availability;
 mod capacity;
 mod crashes;
+mod dropped_queues;
 mod evacuation;
 mod faults;
 mod fencing;
--- a/sapphirewalk_core/tests/coordinator/malformed.rs
+++ b/sapphirewalk_core/tests/coordinator/malformed.rs
@@ -206,6 +206,7 @@
             schedule: None,
         },
         accepted_at: now,
+        terms: None,
     }
 }
 
--- a/sapphirewalk_core/tests/coordinator/repeated_stop.rs
+++ b/sapphirewalk_core/tests/coordinator/repeated_stop.rs
@@ -86,6 +86,7 @@
                 schedule: None,
             },
             accepted_at: harness.now,
+            terms: None,
         };
         harness
             .coordinator
--- a/sapphirewalk_core/tests/coordinator/simulation.rs
+++ b/sapphirewalk_core/tests/coordinator/simulation.rs
@@ -134,6 +134,10 @@
     pub slow_workers: Vec<(usize, u64, u64, f64)>,
     /// Share of runs that fail at their end.
     pub failing_runs: f64,
+    /// Number of attempts of each task that fail, from the first on.
+    pub failing_attempts: u32,
+    /// Spans in which a queue is left out of the configuration: name, from, to.
+    pub dropped_queues: Vec<(&'static str, u64, u64)>,
     /// Service runs that fail: job, index of the task, time from which its present run fails.
     pub failing_services: Vec<(u64, u16, u64)>,
     /// Jobs whose tasks take a multiple of their estimate: job, factor.
@@ -246,6 +250,7 @@
     Kill(usize, RunName),
     Restart(usize),
     ListWorkers,
+    PublishRules,
     ReadRequests,
     Tick,
 }
@@ -557,6 +562,10 @@
             simulation.schedule(START_MS + from, Action::Crash(worker));
             simulation.schedule(START_MS + restart, Action::Restart(worker));
         }
+        for (_, from, to) in plan.dropped_queues {
+            simulation.schedule(START_MS + from, Action::PublishRules);
+            simulation.schedule(START_MS + to, Action::PublishRules);
+        }
         for (worker, at, share) in plan.capacity_changes {
             simulation.schedule(START_MS + at, Action::Resize(worker, share));
         }
@@ -580,11 +589,41 @@
                 schedule: None,
             },
             accepted_at: TimePoint::from_millis(START_MS + at_ms),
+            terms: self.rules.queue(queue).map(Into::into),
         };
         assert_eq!(record.spec.check(), Ok(()));
         self.schedule(START_MS + at_ms, Action::Submit(record));
     }
 
+    /// Sets how many runs of one task of a queue may fail.
+    pub fn set_max_attempts(&mut self, queue: &str, max_attempts: u32) {
+        let mut rules = self.rules.queues.iter_mut();
+        let rule = rules.find(|rule| rule.name == queue).unwrap();
+        rule.max_attempts = max_attempts;
+    }
+
+    /// The rules without the queues that are left out now.
+    fn rules_in_force(&self) -> WorkRules {
+        let elapsed_ms = self.now_ms - START_MS;
+        let mut rules = self.rules.clone();
+        rules.queues.retain(|rule| {
+            let mut dropped = self.plan.dropped_queues.iter();
+            !dropped
+                .any(|(queue, from, to)| *queue == rule.name && (*from..*to).contains(&elapsed_ms))
+        });
+        rules
+    }
+
+    /// Publishes the rules in force under the next version.
+    fn publish_rules(&mut self) {
+        self.rules.version += 1;
+        let rules = self.rules_in_force();
+        for number in 0..self.leaders.len() {
+            self.leaders[number].coordinator.set_rules(rules.clone());
+            self.run_leader(number);
+        }
+    }
+
     /// Sets the objective of a queue's jobs: the critical path times `factor`, plus `added_ms`.
     pub fn set_objective(&mut self, queue: &str, factor: f64, added_ms: u64) {
         let mut rules = self.rules.queues.iter_mut();
@@ -761,6 +800,7 @@
                 let at = self.now_ms + 700;
                 self.schedule(at, Action::ListWorkers);
             }
+            Action::PublishRules => self.publish_rules(),
             Action::ReadRequests => {
                 self.read_requests();
                 let at = self.now_ms + READ_REQUESTS_MS;
@@ -806,7 +846,7 @@
             unavailability_notice: TimeSpan::from_millis(NOTICE_MS),
         };
         let mut coordinator = JobCoordinator::new(limits, fence, now);
-        coordinator.set_rules(self.rules.clone());
+        coordinator.set_rules(self.rules_in_force());
         if self.without_reservations {
             coordinator.disable_reservations();
         }
@@ -1468,7 +1508,8 @@
         deadline_ms: u64,
     ) -> OrderAnswer {
         let now_ms = self.now_ms;
-        let fails = self.draw_fault(self.plan.failing_runs);
+        let fails =
+            self.draw_fault(self.plan.failing_runs) || run.attempt <= self.plan.failing_attempts;
         let long_factor = self.long_factor(run.task);
         let clock_ms = self.workers[number].clock(now_ms);
         let longest_lease_ms = self.longest_lease_ms;
@@ -1593,7 +1634,9 @@
                 }
             }
         }
-        let limit = self.rules.queues[0].max_attempts;
+        let job = self.jobs.iter().find(|job| job.id == task.job);
+        let rule = job.and_then(|job| self.rules.queue(&job.queue));
+        let limit = rule.expect("the job's queue has a rule").max_attempts;
         let failures = self.failure_counts.get(&task).copied().unwrap_or(0);
         if !step.service && failures >= limit {
             self.violations
