Take a predecessor at the own address for ended

Cause: a successor waits 3 s longer for leases unless it learns that its predecessor's process has ended. It asks at the address in the replaced row. A VM that leads again reached itself there, got its own heartbeat, and took it for no proof.

Change: a process that is bound to the address of its predecessor knows that it has ended.

Ruled out: the VM's name as the proof, since a process that drains may overlap with the next one.

Test: a_leader_that_restarts_knows_that_its_predecessor_has_ended failed before (no predecessor_ended), passes now.

--- a/sapphirewalk/src/entry/driver.rs
+++ b/sapphirewalk/src/entry/driver.rs
@@ -506,11 +506,14 @@
 }
 
 /// Reports to the coordinator that the predecessor has ended, once its process has ended or if it
-/// had released the leadership.
+/// had released the leadership. A process that restarts and leads again is its own successor.
 async fn watch_predecessor(driver: rc::Rc<LeaderDriver>, predecessor: LeaderRow) {
     let deadline = tokio::time::Instant::now() + PREDECESSOR_WATCH_TIMEOUT;
-    let is_own = predecessor.incarnation == driver.node.incarnation;
-    let mut ended = predecessor.released || is_own;
+    let node = &driver.node;
+    let is_own = predecessor.incarnation == node.incarnation;
+    // This process is bound to the address, so no other one is.
+    let has_its_address = predecessor.address == node.settings.peer_address;
+    let mut ended = predecessor.released || is_own || has_its_address;
     while !ended && tokio::time::Instant::now() < deadline {
         ended = peer::has_ended(predecessor.address, predecessor.incarnation).await;
         if !ended {
--- a/sapphirewalk/tests/entry/election.rs
+++ b/sapphirewalk/tests/entry/election.rs
@@ -99,3 +99,23 @@
     assert_eq!(fleet.starts(320), 18);
     fleet.assert_no_duplicate_runs();
 }
+
+/// Guards against a leader that restarts, leads again, and waits for leases that it may still grant
+/// itself: at its predecessor's address it reaches nobody but itself.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leader_that_restarts_knows_that_its_predecessor_has_ended() {
+    let mut fleet = EntryFleet::start("restarted", 1).await;
+    fleet.fix_peer_address(0);
+    for _ in 0..2 {
+        fleet.restart_leader(0).await;
+    }
+    // The predecessor is watched for 3 s.
+    fleet
+        .until("the predecessor has ended or is given up", async |fleet| {
+            let log = fleet.present_log(0);
+            log.contains("event=predecessor_ended") || log.matches("event=leader_load").count() > 3
+        })
+        .await;
+    let log = fleet.present_log(0);
+    assert!(log.contains("event=predecessor_ended"), "{log}");
+}
--- a/sapphirewalk/tests/entry/fleet.rs
+++ b/sapphirewalk/tests/entry/fleet.rs
@@ -267,6 +267,21 @@
         });
     }
 
+    /// Gives an entry VM an address for peers that stays the same from its next start on.
+    pub fn fix_peer_address(&self, number: usize) {
+        let any = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 0));
+        let listener = net::TcpListener::bind(any).and_then(|listener| listener.local_addr());
+        let address = listener.expect("the loopback interface has a free port");
+        self.change_settings(number, |settings| settings["peer_address"] = json!(address));
+    }
+
+    /// The log of the present process of an entry VM.
+    pub fn present_log(&self, number: usize) -> String {
+        let log = self.entries[number].log();
+        let last = log.rfind("event=process_started").unwrap_or_default();
+        log[last..].to_owned()
+    }
+
     fn change_settings(&self, number: usize, change: impl FnOnce(&mut Value)) {
         let path = &self.entries[number].settings;
         let text = fs::read_to_string(path).expect("the settings were written here");
@@ -279,9 +294,8 @@
     pub async fn restart_leader(&mut self, number: usize) {
         self.entries[number].restart();
         self.until("the entry VM leads again", async |fleet| {
-            let log = fleet.entries[number].log();
-            let last = log.rfind("event=process_started").unwrap_or_default();
-            log[last..].contains("event=leadership_loaded")
+            let log = fleet.present_log(number);
+            log.contains("event=leadership_loaded")
         })
         .await;
         self.until("the entry VM is ready", async |fleet| {
