Delete only jobs whose end is committed

Found while reading the diff: since a job's own row is deleted without a condition on the leadership, a leader whose last batch isn't committed could delete a job that only it knows to have ended; its successor then doesn't know the job at all (LOST).

Change: only jobs whose end is committed are deleted, and only while the leader has authority.

Test: a_job_whose_end_is_not_committed_is_not_deleted failed before (job 0 was lost with an outage from 1,527 ms on), passes now.

--- a/sapphirewalk/src/entry/records.rs
+++ b/sapphirewalk/src/entry/records.rs
@@ -144,7 +144,7 @@
 /// Why stored terms of a queue can't be used.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum TermsFault {
-    /// The slowdown factor is no positive number.
+    /// The slowdown factor is negative or not finite.
     Slowdown,
 }
 
--- a/sapphirewalk_core/src/coordinator/retention.rs
+++ b/sapphirewalk_core/src/coordinator/retention.rs
@@ -70,9 +70,11 @@
 
 impl JobCoordinator {
     /// Orders the deletion of jobs past their retention, unless one is under way. Those whose
-    /// deletion failed are due again.
+    /// deletion failed are due again. The deletion doesn't depend on the leadership, so only jobs
+    /// count whose end is committed and thus known to a successor.
     pub(super) fn delete_expired_jobs(&mut self, now: TimePoint) {
-        if self.retention.deleting || now < self.retention.next_deletion {
+        let is_due = !self.retention.deleting && now >= self.retention.next_deletion;
+        if !is_due || !self.has_authority(now) {
             return;
         }
         self.retention.next_deletion = now + DELETE_INTERVAL;
@@ -80,7 +82,7 @@
         forgotten.retain(|(_, at)| now.since(*at) < FORGOTTEN_SPAN);
         let retention = self.limits.retention;
         let expired = self.jobs.iter().filter(|(_, job)| {
-            job.state.is_final()
+            job.reported_state.is_final()
                 && job.occurrences.is_empty()
                 && !job.dirty
                 && now.since(job.ended_at) > retention
--- a/sapphirewalk_core/tests/coordinator/retention.rs
+++ b/sapphirewalk_core/tests/coordinator/retention.rs
@@ -1,6 +1,8 @@
 //! Jobs past their retention: deletions that fail, leaders that end in between, and readers of
 //! outdated lists.
 
+use sapphirewalk_core::job_spec::JobId;
+
 use crate::simulation;
 use crate::simulation::ClusterSimulation;
 use crate::simulation::FaultPlan;
@@ -60,6 +62,27 @@
     }
 }
 
+/// Guards against the loss of a job that a leader deletes although only it knows of the job's end.
+#[test]
+fn a_job_whose_end_is_not_committed_is_not_deleted() {
+    for from in (1_500..1_600).step_by(3) {
+        let plan = FaultPlan {
+            store_outages: vec![(from, 9_000)],
+            takeovers: vec![8_000],
+            ..FaultPlan::default()
+        };
+        let simulation = run_trial(plan, 20_000);
+        assert_eq!(simulation.violations, Vec::<String>::new());
+        for id in 0..4 {
+            let job = JobId(id);
+            assert!(
+                simulation.completed.contains_key(&job),
+                "job {id}, {from} ms"
+            );
+        }
+    }
+}
+
 /// Guards against a done job that runs again because a read of the job table that began before its
 /// deletion lists it.
 #[test]
