Suspect no task of a worker that answers without its run

Found while reading the diff: a worker that answers and doesn't list a run is alive, so the run's start never arrived there. Since losses without a proof make a suspect, such tasks were kept apart as if they had crashed a worker, after each takeover anew.

Test: a_start_that_does_not_arrive_makes_no_suspect failed before (crashes=1 of unverified runs that aren't listed), passes now.

--- a/sapphirewalk_core/src/coordinator/crash.rs
+++ b/sapphirewalk_core/src/coordinator/crash.rs
@@ -99,7 +99,7 @@
         }
     }
 
-    /// Logs a lost run, and records the loss of its worker unless that was leaving.
+    /// Logs a lost run, and records the loss of its worker unless that is alive or was leaving.
     fn lose_run(
         &mut self,
         slot: TaskSlot,
@@ -109,10 +109,11 @@
         now: TimePoint,
     ) -> CrashVerdict {
         let is_draining = self.workers.get(worker).listing.draining;
+        let is_alive = cause == LossCause::NotListed && !report.proven;
         let (Some(run), Some(task)) = (self.jobs.run_name(slot), self.jobs.task_mut(slot)) else {
             return CrashVerdict::Retry;
         };
-        let verdict = if is_draining {
+        let verdict = if is_draining || is_alive {
             CrashVerdict::Retry
         } else {
             task.crash_history.record_crash(report)
--- a/sapphirewalk_core/tests/coordinator/lapsed_leases.rs
+++ b/sapphirewalk_core/tests/coordinator/lapsed_leases.rs
@@ -96,3 +96,24 @@
         "a task was without a run for {waited_ms} ms"
     );
 }
+
+/// Guards against tasks that are kept apart as if they had crashed a worker, although it answers and
+/// their start has never arrived there.
+#[test]
+fn a_start_that_does_not_arrive_makes_no_suspect() {
+    let plan = FaultPlan {
+        late_orders: 0.3,
+        takeovers: (0..8).map(|round| 1_010 + round * 407).collect(),
+        ..FaultPlan::default()
+    };
+    let mut simulation = ClusterSimulation::new(1, 4, plan);
+    for id in 0..20 {
+        let step = simulation::step(6, 500, 400, &[]);
+        simulation.submit(1_000 + id * 200, id, "bulk", vec![step]);
+    }
+    simulation.run_until(30_000);
+    assert!(!simulation.run_losses.is_empty());
+    let is_suspect = |loss: &&String| !loss.contains("crashes=0");
+    let suspects: Vec<&String> = simulation.run_losses.iter().filter(is_suspect).collect();
+    assert_eq!(suspects, Vec::<&String>::new());
+}
