--- a/sapphirewalk/src/entry/callers.rs
+++ b/sapphirewalk/src/entry/callers.rs
@@ -32,6 +32,7 @@
 use tokio::net::TcpStream;
 use tokio::task;
 
+use crate::entry::log;
 use crate::entry::node::EntryNode;
 use crate::entry::records;
 
@@ -142,7 +143,7 @@
         return (&unavailable(node, None, "no_rules")).into();
     }
     let answer = match caller::read_request(&head, &rules) {
-        Err(CallerFault::NoQueue) => CallerAnswer::UnknownQueue,
+        Err(CallerFault::NoQueue) => unknown_queue(node, head.uri.path(), received_at),
         Err(CallerFault::BadId) => {
             CallerAnswer::Invalid("the identifier must be 16 hexadecimal digits".to_owned())
         }
@@ -161,6 +162,15 @@
     (&answer).into()
 }
 
+/// Answers a request for a queue that the rules in force don't have.
+fn unknown_queue(node: &EntryNode, path: &str, now: TimePoint) -> CallerAnswer {
+    node.metrics.requests_unknown_queue.increment();
+    slog::info!(node.log, "queue_unknown"; "path" => log::show_text(path),
+        "version" => node.current_rules().version,
+        "confirmed_ago" => log::show_age(node.rules_age(now)));
+    CallerAnswer::UnknownQueue
+}
+
 fn unavailable(node: &EntryNode, id: Option<JobId>, cause: &'static str) -> CallerAnswer {
     report_unavailable(node, id, cause);
     CallerAnswer::Unavailable(UNAVAILABLE_RETRY_AFTER)
--- a/sapphirewalk/src/entry/driver.rs
+++ b/sapphirewalk/src/entry/driver.rs
@@ -549,6 +549,9 @@
         for wait in &load.restart_waits {
             driver.node.metrics.restart_wait_ms.record(*wait);
         }
+        for duration in &load.violations {
+            driver.node.metrics.violation_ms.record(*duration);
+        }
         let line = driver.meter.report(busy, &load);
         slog::info!(driver.node.log, "leader_load {}", line);
     }
--- a/sapphirewalk/src/entry/log.rs
+++ b/sapphirewalk/src/entry/log.rs
@@ -12,6 +12,7 @@
 
 use rustix::event::PollFd;
 use rustix::event::PollFlags;
+use sapphirewalk_core::time::TimeSpan;
 use slog::Drain;
 
 /// Capacity of the buffer in bytes. Lines that don't fit are dropped and counted. This is under 1%
@@ -19,8 +20,8 @@
 const BUFFER_BYTES: usize = 1_048_576;
 /// Prefixes of the events needed to explain a failed request. Such events and all warnings may fill
 /// the whole buffer, other events half of it.
-const ESSENTIAL_EVENT_PREFIXES: [&str; 6] = [
-    "cancel_", "job_", "leader", "process_", "request_", "store_",
+const ESSENTIAL_EVENT_PREFIXES: [&str; 8] = [
+    "cancel_", "job_", "leader", "process_", "queue_", "request_", "rules_", "store_",
 ];
 /// Maximum length of a chunk in bytes, which a pipe reported as ready accepts without blocking. A
 /// longer line is a chunk of its own and may block.
@@ -32,6 +33,8 @@
 
 /// Most keys of rows in one line.
 const MAX_SHOWN_KEYS: usize = 20;
+/// Most characters of a text from outside in one line.
+const MAX_SHOWN_CHARS: usize = 100;
 
 /// Keys of unreadable rows for a log line, and the number of those that are left out of it.
 pub fn show_keys(keys: &[String]) -> String {
@@ -47,6 +50,17 @@
     text
 }
 
+/// Text of an age in log lines: `never` if there is none.
+pub fn show_age(age: Option<TimeSpan>) -> String {
+    age.map_or_else(|| "never".to_owned(), |age| age.to_string())
+}
+
+/// Text from outside in log lines: without control characters, and cut off where it is long.
+pub fn show_text(text: &str) -> String {
+    let shown: String = text.chars().take(MAX_SHOWN_CHARS).collect();
+    shown.escape_debug().to_string()
+}
+
 /// Lines that are queued for writing.
 #[derive(Debug, Default)]
 struct LineBuffer {
--- a/sapphirewalk/src/entry/metric.rs
+++ b/sapphirewalk/src/entry/metric.rs
@@ -57,6 +57,8 @@
         requests_unavailable,
         /// Requests whose outcome is unknown, because the store didn't confirm or refuse the write.
         requests_unknown,
+        /// Requests for a queue that the rules in force don't have.
+        requests_unknown_queue,
         /// Queries for a job's state.
         state_questions,
         /// Cancellations accepted by this process.
@@ -88,8 +90,12 @@
         evacuated_tasks,
         /// At the leader, entries of the worker list that name no worker to use.
         unreadable_workers,
+        /// Time since the store confirmed the rules in force, in ms.
+        rules_age_ms,
     }
     latencies {
+        /// Between two confirmations of the rules by the store.
+        rules_gap_ms,
         /// From receiving a submission to storing the job.
         accept_ms,
         /// From the first write of a batch to its confirmation.
@@ -102,6 +108,8 @@
         takeover_ms,
         /// At the leader, from the end of a run of a service task to the placement of the next one.
         restart_wait_ms,
+        /// At the leader, how long the tail latency of a service task was over its target on a worker.
+        violation_ms,
         /// How late the leader handled a timer; its other work waits as long.
         lag_ms,
     }
--- a/sapphirewalk/src/entry/mod.rs
+++ b/sapphirewalk/src/entry/mod.rs
@@ -185,6 +185,7 @@
 
 fn metrics_response(node: &EntryNode) -> (StatusCode, String) {
     node.update_evacuation_metrics();
+    node.update_rules_metric();
     let mut text = node.metrics.render();
     if let Some(leader) = node.own_leadership() {
         for (reason, count) in leader.coordinator.borrow().waiting_tasks() {
--- a/sapphirewalk/src/entry/node.rs
+++ b/sapphirewalk/src/entry/node.rs
@@ -57,6 +57,9 @@
     pub rules: cell::RefCell<rc::Rc<WorkRules>>,
     /// Version of the last row with rules that could not be read; 0 before.
     pub unreadable_rules: cell::Cell<u64>,
+    /// When the store was last asked about the rules in a call that it answered completely. All rules
+    /// that it had by then are in force here. `None` before the first.
+    rules_confirmed_at: cell::Cell<Option<TimePoint>>,
     /// The operators' requests to evacuate failure domains.
     pub evacuations: cell::RefCell<EvacuationTracker>,
     /// Notified when the rules in force or the evacuation requests change, or the requests are
@@ -100,6 +103,7 @@
             metrics: EntryMetrics::default(),
             rules: cell::RefCell::default(),
             unreadable_rules: cell::Cell::default(),
+            rules_confirmed_at: cell::Cell::default(),
             evacuations: cell::RefCell::default(),
             operator_changed: Notify::new(),
             leadership: cell::RefCell::new(None),
@@ -126,6 +130,29 @@
         self.rules.borrow().clone()
     }
 
+    /// Records that a call sent at `sent_at` has returned all changes of the rules until then.
+    pub fn confirm_rules(&self, sent_at: TimePoint) {
+        match self.rules_confirmed_at.get() {
+            Some(before) if before >= sent_at => return,
+            Some(before) => self.metrics.rules_gap_ms.record(sent_at.since(before)),
+            None => {}
+        }
+        self.rules_confirmed_at.set(Some(sent_at));
+    }
+
+    /// Time since the store confirmed the rules in force. `None` if it never has.
+    pub fn rules_age(&self, now: TimePoint) -> Option<TimeSpan> {
+        let confirmed_at = self.rules_confirmed_at.get()?;
+        Some(now.since(confirmed_at))
+    }
+
+    /// Sets the metric of the age of the rules; 0 before they are first read.
+    pub fn update_rules_metric(&self) {
+        let age = self.rules_age(self.now()).unwrap_or(TimeSpan::ZERO);
+        let age_ms = usize::try_from(age.as_millis()).unwrap_or(usize::MAX);
+        self.metrics.rules_age_ms.set(age_ms);
+    }
+
     /// A number for a connection of a peer that no other connection has.
     pub fn number_connection(&self) -> u64 {
         let number = self.peer_connections.get();
--- a/sapphirewalk/src/entry/rules.rs
+++ b/sapphirewalk/src/entry/rules.rs
@@ -7,9 +7,11 @@
 use sapphirewalk_platform::rules::OperatorKey;
 use sapphirewalk_platform::store;
 use sapphirewalk_platform::store::FeedOutcome;
+use sapphirewalk_platform::store::StoreError;
 use sapphirewalk_platform::store::StoredRow;
 
 use crate::entry::evacuation::ViewChange;
+use crate::entry::log;
 use crate::entry::node::EntryNode;
 use crate::entry::records;
 
@@ -82,10 +84,13 @@
         .read_partition(store::OPERATOR_TABLE, "", timeout)
         .await;
     node.record_store_outcome("read_rules", &read);
-    let page = read.ok()?;
+    let page = read
+        .inspect_err(|error| report_failed_call(node, "read_rules", *error))
+        .ok()?;
     for row in &page.rows {
         apply_row(node, row);
     }
+    node.confirm_rules(sent_at);
     let change = node
         .evacuations
         .borrow_mut()
@@ -102,6 +107,7 @@
         .feed(store::OPERATOR_TABLE, from, feed_wait(node))
         .await;
     node.record_store_outcome("follow_rules", &outcome);
+    let outcome = outcome.inspect_err(|error| report_failed_call(node, "follow_rules", *error));
     match outcome.ok()? {
         FeedOutcome::Changes(page) => {
             for row in page.rows.iter().filter(|row| !row.deleted) {
@@ -116,6 +122,7 @@
                 // An incomplete page doesn't confirm the view.
                 return Some(FollowStep::Read);
             }
+            node.confirm_rules(sent_at);
             Some(FollowStep::Poll(page.version.max(from)))
         }
         FeedOutcome::Compacted => {
@@ -126,6 +133,14 @@
     }
 }
 
+/// Logs a failed call, which prolongs the time without a confirmation of the rules.
+fn report_failed_call(node: &EntryNode, call: &'static str, error: StoreError) {
+    let age = node.rules_age(node.now());
+    slog::info!(node.log, "rules_unconfirmed"; "call" => call, "error" => %error,
+        "version" => node.rules.borrow().version,
+        "confirmed_ago" => log::show_age(age));
+}
+
 fn feed_wait(node: &EntryNode) -> time::Duration {
     match node.settings.bounds.evacuation_bound() {
         Some(bound) if node.leadership.borrow().is_some() => {
@@ -164,8 +179,10 @@
         Ok(rules) => {
             let previous = node.rules.borrow().version;
             if rules.version > previous {
+                let age = node.rules_age(node.now());
                 slog::info!(node.log, "rules_in_force"; "version" => rules.version,
-                    "before" => previous, "queues" => rules.queues.len());
+                    "before" => previous, "queues" => rules.queues.len(),
+                    "confirmed_ago" => log::show_age(age));
                 *node.rules.borrow_mut() = rc::Rc::new(rules);
                 node.operator_changed.notify_waiters();
             }
--- a/sapphirewalk_core/src/coordinator/load_report.rs
+++ b/sapphirewalk_core/src/coordinator/load_report.rs
@@ -36,6 +36,9 @@
     /// Time from the end of a run of a service task to the placement of the next one, for each that
     /// was placed.
     pub restart_waits: Vec<TimeSpan>,
+    /// Durations of the violations that have ended: times in which the tail latency of a service task
+    /// was over its target on a worker.
+    pub violations: Vec<TimeSpan>,
     /// Longest time between two answers of a worker to polls.
     pub longest_poll_gap: TimeSpan,
     /// Mean lag of the leader, recent samples weighing most.
--- a/sapphirewalk_core/src/coordinator/pace.rs
+++ b/sapphirewalk_core/src/coordinator/pace.rs
@@ -26,6 +26,8 @@
 use crate::job_spec::StepSpec;
 use crate::load_cycle::LoadCycle;
 use crate::load_cycle::LoadForecast;
+use crate::tail_violation;
+use crate::tail_violation::ViolationChange;
 use crate::time::TimePoint;
 use crate::time::TimeSpan;
 use crate::worker_registry;
@@ -49,15 +51,10 @@
 /// Share of the tolerated time of a violation after which all best-effort tasks are evicted. With a
 /// tolerance of 4 s, which is a setting, this leaves 1.4 s for the stops, which take up to 0.9 s.
 const FULL_EVICTION_SHARE: f64 = 0.65;
-/// Log ratio above which a violation starts: 0.97 of the target.
-const VIOLATION_START_LOG: f64 = -0.03;
-/// Log ratio below which a violation ends: 0.88 of the target. The distance to
-/// [`VIOLATION_START_LOG`] is hysteresis.
-const VIOLATION_END_LOG: f64 = -0.13;
 /// Log ratio above which best-effort tasks are paced down at once: 1.2 times the target. Pacing at
 /// lower values would keep tasks, and their memory, on workers where they hardly make progress.
 const PACE_DOWN_LOG: f64 = 0.2;
-/// Log ratio that pacing down aims for: the target itself, or [`VIOLATION_END_LOG`] once a
+/// Log ratio that pacing down aims for: the target itself, or [`tail_violation::END_LOG`] once a
 /// violation has lasted for [`SUSTAINED_SPAN`].
 const PACE_TARGET_LOG: f64 = 0.0;
 /// Log ratio of the worst tail below which paces are raised again.
@@ -142,33 +139,41 @@
     percent: u32,
 }
 
+/// What a review of a worker's best-effort tasks has found and done.
+#[derive(Clone, Copy, Debug)]
+struct PaceReview {
+    change: ViolationChange,
+    /// Log ratio of the worst tail.
+    worst: f64,
+    /// Time since the sample before.
+    sample_age: Option<TimeSpan>,
+    /// Best-effort tasks that could be paced or evicted: running ones without a stop order.
+    considered: usize,
+    evicted: usize,
+    /// Tasks whose eviction was due and not allowed.
+    withheld: usize,
+}
+
 impl JobCoordinator {
     /// Reviews the best-effort tasks of a worker after it has reported new gauges: learns from the
     /// tails of its service tasks, then paces or evicts best-effort tasks.
     pub(super) fn pace_worker(&mut self, worker: WorkerSlot, now: TimePoint) {
         let entry = self.workers.get_mut(worker);
-        if now.since(entry.sampled_at) < SAMPLE_INTERVAL {
+        let sample_age = entry.violation.sample_age(now);
+        if sample_age.is_some_and(|age| age < SAMPLE_INTERVAL) {
             return;
         }
-        entry.sampled_at = now;
         let gauges = entry.gauges.clone();
         let capacity = entry.listing.capacity.cpu_millis.max(1) as f64;
         let loads = self.best_effort_loads(&gauges, capacity);
         let tails = self.observe_tails(&gauges, &loads, now);
         let worst = worst_tail(&tails);
         let entry = self.workers.get_mut(worker);
-        entry.violating_since = match entry.violating_since {
-            // Samples are noisy: a violation only ends well below the target.
-            Some(since) if worst > VIOLATION_END_LOG => Some(since),
-            None if worst > VIOLATION_START_LOG => Some(now),
-            _ => None,
-        };
+        let change = entry.violation.observe(worst, now);
         entry.load_forecasts = highest_forecasts(&tails);
-        let violating_for = entry
-            .violating_since
-            .map_or(TimeSpan::ZERO, |since| now.since(since));
+        let violating_for = change.lasting();
         let threshold = if violating_for >= SUSTAINED_SPAN {
-            VIOLATION_END_LOG
+            tail_violation::END_LOG
         } else {
             PACE_DOWN_LOG
         };
@@ -179,17 +184,63 @@
         let full_eviction_span = tolerance.scale(FULL_EVICTION_SHARE);
         self.workers.get_mut(worker).closed_to_best_effort = violating_for >= full_eviction_span;
         let mut unexplained = violating_for >= UNEXPLAINED_SPAN && !lowered;
+        let mut review = PaceReview {
+            change,
+            worst,
+            sample_age,
+            considered: paces.len(),
+            evicted: 0,
+            withheld: 0,
+        };
         for pace in paces {
             let interferes = pace.interference > NEGLIGIBLE_INTERFERENCE / 2.0;
             let evict_interfering = violating_for >= interfering_eviction_span && interferes;
-            let evicts = evict_interfering || violating_for >= full_eviction_span || unexplained;
-            if evicts && self.may_interrupt(pace.slot, "harm", now) {
+            let due = evict_interfering || violating_for >= full_eviction_span || unexplained;
+            let evicts = due && self.may_interrupt(pace.slot, "harm", now);
+            review.withheld += usize::from(due && !evicts);
+            if evicts {
                 unexplained = false;
+                review.evicted += 1;
                 self.evict(worker, &pace, worst, violating_for);
             } else if pace.percent != pace.current_percent {
                 self.change_pace(worker, &pace, worst);
             }
         }
+        self.report_violation(worker, &review);
+    }
+
+    /// Logs the begin, course and end of a violation on a worker with best-effort tasks.
+    fn report_violation(&mut self, worker: WorkerSlot, review: &PaceReview) {
+        let entry = self.workers.get(worker);
+        let tasks = entry.tasks.iter();
+        let best_effort = tasks
+            .filter(|slot| self.jobs.step(**slot).is_some_and(|step| step.best_effort))
+            .count();
+        let (event, duration, worst) = match review.change {
+            ViolationChange::Begun => ("violation_begun", TimeSpan::ZERO, review.worst),
+            ViolationChange::Lasts(duration) if duration >= SUSTAINED_SPAN => {
+                ("violation_lasts", duration, review.worst)
+            }
+            ViolationChange::Ended { duration, peak } => {
+                self.load_report.violations.push(duration);
+                ("violation_ended", duration, peak)
+            }
+            ViolationChange::Calm | ViolationChange::Lasts(_) => return,
+        };
+        if best_effort == 0 && event != "violation_ended" {
+            return;
+        }
+        let detail = format!(
+            "worker={} for={duration} worst_tail={:.2} sample_gap={} best_effort={best_effort} \
+             left_out={} evicted={} withheld={}",
+            entry.listing.id,
+            worst.exp(),
+            review.sample_age.unwrap_or(TimeSpan::ZERO),
+            best_effort.saturating_sub(review.considered),
+            review.evicted,
+            review.withheld
+        );
+        self.log(event, None, detail);
     }
 
     /// Feeds the tails of serving service tasks into the interference model and returns them.
--- a/sapphirewalk_core/src/lib.rs
+++ b/sapphirewalk_core/src/lib.rs
@@ -17,7 +17,7 @@
 //!   [`crash_history`], [`demand_summary`], [`election_delay`], [`image_interference`], [`job_order`],
 //!   [`job_registry`], [`job_spec`], [`leader_election`], [`leadership_handback`],
 //!   [`load_cycle`], [`load_trend`], [`maintenance_wave`], [`progress_row`], [`restart_queue`],
-//!   [`room_forecast`], [`room_reservation`], [`unavailability_budget`],
+//!   [`room_forecast`], [`room_reservation`], [`tail_violation`], [`unavailability_budget`],
 //!   [`work_rule`] and [`worker_registry`].
 //!
 //! All use [`time`]; [`key`] and [`resource`] are shared by two each, and [`rollout_order`] belongs
@@ -74,6 +74,7 @@
 pub mod slot_hold;
 pub mod slot_share;
 pub mod start_pace;
+pub mod tail_violation;
 pub mod task_failure;
 pub mod task_lifecycle;
 pub mod task_queue;
--- a/sapphirewalk_core/src/worker_registry.rs
+++ b/sapphirewalk_core/src/worker_registry.rs
@@ -9,6 +9,7 @@
 use crate::job_spec::StepSpec;
 use crate::load_cycle::LoadForecast;
 use crate::resource::ResourceVector;
+use crate::tail_violation::TailViolation;
 use crate::time::TimePoint;
 use crate::time::TimeSpan;
 
@@ -175,11 +176,8 @@
     pub done_runs: Vec<DoneRun>,
     /// Measurements of the worker's tasks from its last answer.
     pub gauges: Vec<TaskGauge>,
-    /// When the interference model last took samples from `gauges`.
-    pub sampled_at: TimePoint,
-    /// Start of the current violation: set once a tail latency exceeds 0.97 of its target, and
-    /// cleared once none exceeds 0.88. None outside a violation.
-    pub violating_since: Option<TimePoint>,
+    /// How long the tail latencies of the worker's service tasks have been over their targets.
+    pub violation: TailViolation,
     /// A violation has lasted so long that all best-effort tasks are evicted. New ones are placed
     /// here only for a starved job.
     pub closed_to_best_effort: bool,
@@ -261,8 +259,7 @@
             slow_since: None,
             done_runs: Vec::new(),
             gauges: Vec::new(),
-            sampled_at: TimePoint::EPOCH,
-            violating_since: None,
+            violation: TailViolation::default(),
             closed_to_best_effort: false,
             load_forecasts: Vec::new(),
         }
