--- a/sapphirewalk/src/entry/driver.rs
+++ b/sapphirewalk/src/entry/driver.rs
@@ -409,7 +409,6 @@
                 let answer = driver.meter.follow(LeaderWork::PollCalls, poll).await;
                 if !matches!(answer, PollAnswer::Lists { .. }) {
                     driver.node.metrics.polls_failed.increment();
-                    driver.workers.close_idle(target.address);
                 }
                 driver.send_event(Event::Polled {
                     worker: target.worker,
--- a/sapphirewalk/tests/entry/store.rs
+++ b/sapphirewalk/tests/entry/store.rs
@@ -1,5 +1,7 @@
 //! Faults of the store: refused calls, lost answers, a compacted history and slow transactions.
 
+use std::time;
+
 use hyper::Method;
 
 use crate::fleet;
@@ -102,6 +104,44 @@
     fleet.until_state(0, 420, "completed").await;
 }
 
+/// Time from the operators' write of rules until they are in force, `config_apply_ms` of the
+/// platform.
+const RULES_BOUND: time::Duration = time::Duration::from_millis(2_000);
+/// Time after which a disruption no longer excuses a VM, `contact_ms` of the platform.
+const CONTACT_SPAN: time::Duration = time::Duration::from_millis(3_000);
+
+/// Guards against polls of the rules that use one silent connection after the other.
+#[tokio::test(flavor = "multi_thread")]
+async fn new_queues_are_served_in_time_after_the_connections_to_the_store_went_silent() {
+    let fleet = EntryFleet::start("silent", 2).await;
+    // Leaves several idle connections to the store behind.
+    let submissions = (0..24u64).map(|number| {
+        let fleet = &fleet;
+        async move {
+            fleet
+                .submit(number as usize % 2, 700 + number, 50, &[1])
+                .await
+        }
+    });
+    let statuses = futures::future::join_all(submissions).await;
+    assert!(statuses.iter().all(|status| *status == 200), "{statuses:?}");
+    for port in &fleet.ports {
+        port.silence_open_connections();
+    }
+    let silent_at = time::Instant::now();
+    tokio::time::sleep(time::Duration::from_millis(500)).await;
+    let queues = [("bulk", 2), ("late", 1), ("urgent", 0)];
+    fleet.store.put_rules(2, &queues);
+    let due = (silent_at + CONTACT_SPAN).max(time::Instant::now() + RULES_BOUND);
+    tokio::time::sleep_until(due.into()).await;
+    for number in 0..2 {
+        let (status, ..) = fleet
+            .call(number, Method::GET, "/late/", String::new())
+            .await;
+        assert_eq!(status, 200, "entry VM {number}");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn jobs_are_accepted_while_each_part_of_the_store_is_slow() {
     let fleet = EntryFleet::start("slow", 2).await;
