--- a/sapphirewalk/src/entry/rules.rs
+++ b/sapphirewalk/src/entry/rules.rs
@@ -25,68 +25,72 @@
 /// one of 1,200 ms, a dead read and two retries leave 560 ms of the 3,000 ms to the read that
 /// succeeds.
 const FEED_WAIT_SHARE: f64 = 0.1;
-/// Timeout for reading the table where evacuations have a bound. A slow store answers in 240 ms.
-const BOUNDED_READ_TIMEOUT: time::Duration = time::Duration::from_millis(500);
+/// Timeout for reading the table. A slow store answers in 240 ms. Where evacuations have no bound, a
+/// read after one without an answer has [`records::PART_READ_TIMEOUT`].
+const READ_TIMEOUT: time::Duration = time::Duration::from_millis(500);
 
 /// How the operators' table is read next.
 #[derive(Clone, Copy, Debug)]
 enum FollowStep {
-    /// All rows are read.
-    Read,
+    /// All rows are read, with this timeout.
+    Read(time::Duration),
     /// The feed is followed from this version.
     Poll(u64),
 }
 
+impl FollowStep {
+    const FIRST: Self = Self::Read(READ_TIMEOUT);
+
+    /// The step after this one has failed. A failed poll is followed by a read: the store answers a
+    /// read at once, and an unchanged feed only at the end of the poll.
+    fn after_failure(self, error: StoreError, longest_timeout: time::Duration) -> Self {
+        match (self, error) {
+            (Self::Read(_), StoreError::Unknown) => Self::Read(longest_timeout),
+            (Self::Read(_) | Self::Poll(_), _) => Self::FIRST,
+        }
+    }
+}
+
 /// Follows the operators' table while the process runs.
 pub async fn follow(node: rc::Rc<EntryNode>) {
-    let mut step = FollowStep::Read;
+    let longest_timeout = match node.settings.bounds.evacuation_ms {
+        Some(_) => READ_TIMEOUT,
+        None => records::PART_READ_TIMEOUT,
+    };
+    let mut step = FollowStep::FIRST;
     loop {
-        let next_step = match step {
-            FollowStep::Read => read_table(&node).await,
+        let outcome = match step {
+            FollowStep::Read(timeout) => read_table(&node, timeout).await,
             FollowStep::Poll(from) => wait_for_change(&node, from).await,
         };
-        step = match next_step {
-            Some(next) => next,
-            None => {
+        step = match outcome {
+            Ok(next) => next,
+            Err(error) => {
+                report_failed_call(&node, step, error);
                 tokio::time::sleep(RETRY_DELAY).await;
-                step_after_failure(&node, step)
+                step.after_failure(error, longest_timeout)
             }
         };
     }
 }
 
-/// Where evacuations have a bound, a failed poll is followed by a read, because the store answers
-/// it at once and a poll only at its end.
-fn step_after_failure(node: &EntryNode, failed: FollowStep) -> FollowStep {
-    match node.settings.bounds.evacuation_ms {
-        Some(_) => FollowStep::Read,
-        None => failed,
-    }
-}
-
 /// Reads the evacuation requests once, where evacuations have a bound. A failure is no error: the
 /// task that follows the table tries again.
 pub async fn confirm_evacuations(node: &EntryNode) {
     if node.settings.bounds.evacuation_ms.is_some() {
-        let _next_step = read_table(node).await;
+        let _next_step = read_table(node, READ_TIMEOUT).await;
     }
 }
 
-/// Reads the whole table. Returns `None` if the call failed.
-async fn read_table(node: &EntryNode) -> Option<FollowStep> {
-    let timeout = match node.settings.bounds.evacuation_ms {
-        Some(_) => BOUNDED_READ_TIMEOUT,
-        None => records::PART_READ_TIMEOUT,
-    };
+/// Reads the whole table.
+async fn read_table(node: &EntryNode, timeout: time::Duration) -> Result<FollowStep, StoreError> {
     let sent_at = node.now();
     let read = node
         .store
         .read_partition(store::OPERATOR_TABLE, "", timeout)
         .await;
     node.record_store_outcome("read_rules", &read);
-    let page = read
-        .inspect_err(|error| report_failed_call(node, "read_rules", *error))
-        .ok()?;
+    let page = read?;
     for row in &page.rows {
         apply_row(node, row);
     }
@@ -96,19 +100,18 @@
         .borrow_mut()
         .replace(&page, sent_at, node.now());
     report_change(node, change);
-    Some(FollowStep::Poll(page.version))
+    Ok(FollowStep::Poll(page.version))
 }
 
-/// Waits for a change. Returns `None` if the call failed.
-async fn wait_for_change(node: &EntryNode, from: u64) -> Option<FollowStep> {
+/// Waits for a change.
+async fn wait_for_change(node: &EntryNode, from: u64) -> Result<FollowStep, StoreError> {
     let sent_at = node.now();
     let outcome = node
         .store
         .feed(store::OPERATOR_TABLE, from, feed_wait(node))
         .await;
     node.record_store_outcome("follow_rules", &outcome);
-    let outcome = outcome.inspect_err(|error| report_failed_call(node, "follow_rules", *error));
-    match outcome.ok()? {
+    match outcome? {
         FeedOutcome::Changes(page) => {
             for row in page.rows.iter().filter(|row| !row.deleted) {
                 apply_row(node, row);
@@ -120,21 +123,25 @@
             report_change(node, change);
             if page.has_more {
                 // An incomplete page doesn't confirm the view.
-                return Some(FollowStep::Read);
+                return Ok(FollowStep::FIRST);
             }
             node.confirm_rules(sent_at);
-            Some(FollowStep::Poll(page.version.max(from)))
+            Ok(FollowStep::Poll(page.version.max(from)))
         }
         FeedOutcome::Compacted => {
             slog::info!(node.log, "feed_forgotten"; "table" => store::OPERATOR_TABLE,
                 "version" => from);
-            Some(FollowStep::Read)
+            Ok(FollowStep::FIRST)
         }
     }
 }
 
 /// Logs a failed call, which prolongs the time without a confirmation of the rules.
-fn report_failed_call(node: &EntryNode, call: &'static str, error: StoreError) {
+fn report_failed_call(node: &EntryNode, failed: FollowStep, error: StoreError) {
+    let call = match failed {
+        FollowStep::Read(_) => "read_rules",
+        FollowStep::Poll(_) => "follow_rules",
+    };
     let age = node.rules_age(node.now());
     slog::info!(node.log, "rules_unconfirmed"; "call" => call, "error" => %error,
         "version" => node.rules.borrow().version,
--- a/sapphirewalk/tests/entry/store.rs
+++ b/sapphirewalk/tests/entry/store.rs
@@ -142,6 +142,27 @@
     }
 }
 
+/// The value of a metric of an entry VM.
+async fn metric(fleet: &EntryFleet, number: usize, name: &str) -> u64 {
+    let text = fleet.metrics(number).await;
+    let line = text.lines().find_map(|line| line.strip_prefix(name));
+    let value = line.and_then(|value| value.trim().parse().ok());
+    value.unwrap_or_else(|| panic!("no {name} in {text}"))
+}
+
+/// Guards against a failed poll that is followed by a whole poll before the rules are confirmed.
+#[tokio::test(flavor = "multi_thread")]
+async fn rules_are_confirmed_in_time_after_the_connections_to_the_store_went_silent() {
+    let fleet = EntryFleet::start("confirmed", 1).await;
+    fleet.ports[0].silence_open_connections();
+    let end = time::Instant::now() + CONTACT_SPAN + RULES_BOUND;
+    while time::Instant::now() < end {
+        let age_ms = metric(&fleet, 0, "sapphirewalk_rules_age_ms").await;
+        assert!(u128::from(age_ms) < RULES_BOUND.as_millis(), "{age_ms} ms");
+        tokio::time::sleep(time::Duration::from_millis(50)).await;
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn jobs_are_accepted_while_each_part_of_the_store_is_slow() {
     let fleet = EntryFleet::start("slow", 2).await;
