--- a/sapphirewalk/src/entry/callers.rs
+++ b/sapphirewalk/src/entry/callers.rs
@@ -162,13 +162,18 @@
     (&answer).into()
 }
 
-/// Answers a request for a queue that the rules in force don't have.
+/// Answers a request for a queue that the rules in force don't have. Callers take 404 as final, so
+/// they get 503 while the operators may have added the queue without this process knowing.
 fn unknown_queue(node: &EntryNode, path: &str, now: TimePoint) -> CallerAnswer {
     node.metrics.requests_unknown_queue.increment();
     slog::info!(node.log, "queue_unknown"; "path" => log::show_text(path),
         "version" => node.current_rules().version,
         "confirmed_ago" => log::show_age(node.rules_age(now)));
-    CallerAnswer::UnknownQueue
+    if node.rules_prove_absence(now) {
+        CallerAnswer::UnknownQueue
+    } else {
+        unavailable(node, None, "rules_unconfirmed")
+    }
 }
 
 fn unavailable(node: &EntryNode, id: Option<JobId>, cause: &'static str) -> CallerAnswer {
--- a/sapphirewalk/src/entry/node.rs
+++ b/sapphirewalk/src/entry/node.rs
@@ -146,6 +146,12 @@
         Some(now.since(confirmed_at))
     }
 
+    /// Whether the rules in force are so recent that a queue that they don't have doesn't exist.
+    pub fn rules_prove_absence(&self, now: TimePoint) -> bool {
+        let bound = self.settings.bounds.rules_bound();
+        self.rules_age(now).is_some_and(|age| age <= bound)
+    }
+
     /// Sets the metric of the age of the rules; 0 before they are first read.
     pub fn update_rules_metric(&self) {
         let age = self.rules_age(self.now()).unwrap_or(TimeSpan::ZERO);
--- a/sapphirewalk/src/entry/settings.rs
+++ b/sapphirewalk/src/entry/settings.rs
@@ -59,6 +59,10 @@
     pub retention_s: f64,
     /// How long a service task may exceed its latency target, in ms.
     pub harm_tolerance_ms: u64,
+    /// Time from a change of the operators' rules until it is in force, in ms, at least 1500. Absent
+    /// or null for deployments that state none: [`DEFAULT_RULES_BOUND_MS`].
+    #[serde(default)]
+    pub rules_ms: Option<u64>,
     /// Time from an operator's request to evacuate a failure domain until no task starts there, in
     /// ms, at least 1000. `None` if the platform states none.
     #[serde(default)]
@@ -76,6 +80,9 @@
 /// do.
 const DEFAULT_UNAVAILABILITY_NOTICE_MS: u64 = 5_500;
 
+/// Bound on changes of the rules of deployments that state none, in ms.
+const DEFAULT_RULES_BOUND_MS: u64 = 2_000;
+
 /// Why the settings can't be used.
 #[derive(Debug)]
 pub enum SettingsFault {
@@ -136,6 +143,12 @@
                 "is below 1000; raise it, since the operators' table is read several times within it",
             ));
         }
+        if self.bounds.rules_bound() < TimeSpan::from_millis(1_500) {
+            return Err(SettingsFault::OutOfRange(
+                "bounds.rules_ms",
+                "is below 1500; raise it, since polls of the rules last a second",
+            ));
+        }
         if self.bounds.unavailability_notice() < TimeSpan::from_millis(1_000) {
             return Err(SettingsFault::OutOfRange(
                 "bounds.unavailability_notice_ms",
@@ -171,6 +184,11 @@
         self.evacuation_ms.map(TimeSpan::from_millis)
     }
 
+    /// Time from a change of the operators' rules until it is in force.
+    pub fn rules_bound(&self) -> TimeSpan {
+        TimeSpan::from_millis(self.rules_ms.unwrap_or(DEFAULT_RULES_BOUND_MS))
+    }
+
     fn unavailability_notice(&self) -> TimeSpan {
         let notice_ms = self.unavailability_notice_ms;
         TimeSpan::from_millis(notice_ms.unwrap_or(DEFAULT_UNAVAILABILITY_NOTICE_MS))
--- a/sapphirewalk/tests/entry/store.rs
+++ b/sapphirewalk/tests/entry/store.rs
@@ -3,6 +3,7 @@
 use std::time;
 
 use hyper::Method;
+use sapphirewalk_platform::stand_in::PortMode;
 
 use crate::fleet;
 use crate::fleet::EntryFleet;
@@ -163,6 +164,40 @@
     }
 }
 
+/// Guards against 404, which callers take as final, for a queue that may have been added since the
+/// store was last reached.
+#[tokio::test(flavor = "multi_thread")]
+async fn unknown_queues_are_refused_for_a_while_once_the_rules_are_unconfirmed() {
+    let fleet = EntryFleet::start("unconfirmed", 1).await;
+    let path = "/late/00000000000002f0";
+    let job = fleet::job(50, &[1]).to_string();
+    let (status, ..) = fleet.call(0, Method::POST, path, job.clone()).await;
+    assert_eq!(status, 404);
+    fleet.ports[0].set_mode(PortMode::Silent);
+    let queues = [("bulk", 2), ("late", 1), ("urgent", 0)];
+    fleet.store.put_rules(2, &queues);
+    // A poll that was answered may have been sent just before.
+    tokio::time::sleep(RULES_BOUND + time::Duration::from_millis(1_100)).await;
+    for method in [Method::POST, Method::GET] {
+        let (status, _, after) = fleet.call(0, method, path, job.clone()).await;
+        assert_eq!((status, after.as_deref()), (503, Some("1")));
+    }
+    // Queues that the rules have are still served.
+    let (status, ..) = fleet.call(0, Method::GET, "/bulk/", String::new()).await;
+    assert_ne!(status, 404);
+    fleet.ports[0].set_mode(PortMode::Serving);
+    fleet
+        .until("the new queue is served", async |fleet| {
+            let (status, ..) = fleet.call(0, Method::POST, path, job.clone()).await;
+            status == 200
+        })
+        .await;
+    let (status, ..) = fleet
+        .call(0, Method::POST, "/none/00000000000002f1", job.clone())
+        .await;
+    assert_eq!(status, 404);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn jobs_are_accepted_while_each_part_of_the_store_is_slow() {
     let fleet = EntryFleet::start("slow", 2).await;
