--- a/sapphirewalk/src/entry/node.rs
+++ b/sapphirewalk/src/entry/node.rs
@@ -57,8 +57,8 @@
     pub rules: cell::RefCell<rc::Rc<WorkRules>>,
     /// Version of the last row with rules that could not be read; 0 before.
     pub unreadable_rules: cell::Cell<u64>,
-    /// When the store was last asked about the rules in a call that it answered completely. All rules
-    /// that it had by then are in force here. `None` before the first.
+    /// Time up to which all changes of the rules are in force here, as the store's answers prove.
+    /// `None` before the first answer.
     rules_confirmed_at: cell::Cell<Option<TimePoint>>,
     /// The operators' requests to evacuate failure domains.
     pub evacuations: cell::RefCell<EvacuationTracker>,
@@ -130,14 +130,14 @@
         self.rules.borrow().clone()
     }
 
-    /// Records that a call sent at `sent_at` has returned all changes of the rules until then.
-    pub fn confirm_rules(&self, sent_at: TimePoint) {
+    /// Records that the store has returned all changes of the rules until `confirmed_at`.
+    pub fn confirm_rules(&self, confirmed_at: TimePoint) {
         match self.rules_confirmed_at.get() {
-            Some(before) if before >= sent_at => return,
-            Some(before) => self.metrics.rules_gap_ms.record(sent_at.since(before)),
+            Some(before) if before >= confirmed_at => return,
+            Some(before) => self.metrics.rules_gap_ms.record(confirmed_at.since(before)),
             None => {}
         }
-        self.rules_confirmed_at.set(Some(sent_at));
+        self.rules_confirmed_at.set(Some(confirmed_at));
     }
 
     /// Time since the store confirmed the rules in force. `None` if it never has.
--- a/sapphirewalk/src/entry/rules.rs
+++ b/sapphirewalk/src/entry/rules.rs
@@ -106,10 +106,8 @@
 /// Waits for a change.
 async fn wait_for_change(node: &EntryNode, from: u64) -> Result<FollowStep, StoreError> {
     let sent_at = node.now();
-    let outcome = node
-        .store
-        .feed(store::OPERATOR_TABLE, from, feed_wait(node))
-        .await;
+    let wait = feed_wait(node);
+    let outcome = node.store.feed(store::OPERATOR_TABLE, from, wait).await;
     node.record_store_outcome("follow_rules", &outcome);
     match outcome? {
         FeedOutcome::Changes(page) => {
@@ -125,7 +123,13 @@
                 // An incomplete page doesn't confirm the view.
                 return Ok(FollowStep::FIRST);
             }
-            node.confirm_rules(sent_at);
+            let confirmed_at = if page.rows.is_empty() {
+                // The store has waited for a change all the while.
+                (sent_at + wait.into()).min(node.now())
+            } else {
+                sent_at
+            };
+            node.confirm_rules(confirmed_at);
             Ok(FollowStep::Poll(page.version.max(from)))
         }
         FeedOutcome::Compacted => {
--- a/sapphirewalk/tests/entry/store.rs
+++ b/sapphirewalk/tests/entry/store.rs
@@ -151,6 +151,25 @@
     value.unwrap_or_else(|| panic!("no {name} in {text}"))
 }
 
+/// Time that two answers of a slow store take, at 60 times the usual 4 ms.
+const SLOW_ANSWERS: time::Duration = time::Duration::from_millis(480);
+
+/// Guards against rules that count as unconfirmed while the store answers each poll.
+#[tokio::test(flavor = "multi_thread")]
+async fn rules_stay_confirmed_while_nothing_changes() {
+    let fleet = EntryFleet::start("calm", 1).await;
+    let end = time::Instant::now() + CONTACT_SPAN;
+    let mut oldest_ms = 0;
+    while time::Instant::now() < end {
+        oldest_ms = oldest_ms.max(metric(&fleet, 0, "sapphirewalk_rules_age_ms").await);
+        tokio::time::sleep(time::Duration::from_millis(20)).await;
+    }
+    assert!(
+        u128::from(oldest_ms) < RULES_BOUND.as_millis() * 3 / 4,
+        "{oldest_ms} ms"
+    );
+}
+
 /// Guards against a failed poll that is followed by a whole poll before the rules are confirmed.
 #[tokio::test(flavor = "multi_thread")]
 async fn rules_are_confirmed_in_time_after_the_connections_to_the_store_went_silent() {
