Count no read that is behind as the latest rules

Callers got 404 on a new queue from a VM whose store had dropped its history and whose reads were behind: such a read counted as the latest rules, and confirmed them.

Cause: after a feed answers that its history is gone, the table is read, and the feed is followed from the version of that read, whichever it is. If the read is behind, the feed answers again that its history is gone.

A feed without history proves that there are changes after the version that was asked for. The leader's feed of jobs had the same loop, with reads of all records; it waits for 500 ms there.

--- a/sapphirewalk/src/entry/driver.rs
+++ b/sapphirewalk/src/entry/driver.rs
@@ -50,6 +50,9 @@
 const BATCH_TIMEOUT: time::Duration = time::Duration::from_millis(1_000);
 /// Delay before a failed store call is retried.
 const STORE_RETRY_DELAY: time::Duration = time::Duration::from_millis(80);
+/// Delay before all records are read again after a read that was behind. New jobs also arrive from
+/// the VMs that accepted them.
+const STALE_READ_DELAY: time::Duration = time::Duration::from_millis(500);
 /// Wait time of a long poll on the job feed. It is short so that a dead connection is detected
 /// soon.
 const FEED_WAIT: time::Duration = time::Duration::from_millis(2_000);
@@ -636,7 +639,8 @@
                     continue;
                 };
                 log_unreadable(node, &set.unreadable, set.unnamed);
-                version = set.version;
+                let is_behind = set.version <= version;
+                version = version.max(set.version);
                 let jobs = set.records;
                 for record in jobs.jobs {
                     driver.send_event(Event::Stored(record));
@@ -644,6 +648,10 @@
                 for id in jobs.cancelled {
                     driver.send_event(Event::Cancelled(id));
                 }
+                if is_behind {
+                    // The store has newer changes than the read returned.
+                    tokio::time::sleep(STALE_READ_DELAY).await;
+                }
             }
             Err(_) => tokio::time::sleep(STORE_RETRY_DELAY).await,
         }
--- a/sapphirewalk/src/entry/node.rs
+++ b/sapphirewalk/src/entry/node.rs
@@ -60,6 +60,9 @@
     /// Time up to which all changes of the rules are in force here, as the store's answers prove.
     /// `None` before the first answer.
     rules_confirmed_at: cell::Cell<Option<TimePoint>>,
+    /// Last version from which the store no longer had the changes of the operators' table. There are
+    /// newer ones, so a read that returns no higher version is behind.
+    pub forgotten_rules_version: cell::Cell<u64>,
     /// The operators' requests to evacuate failure domains.
     pub evacuations: cell::RefCell<EvacuationTracker>,
     /// Notified when the rules in force or the evacuation requests change, or the requests are
@@ -104,6 +107,7 @@
             rules: cell::RefCell::default(),
             unreadable_rules: cell::Cell::default(),
             rules_confirmed_at: cell::Cell::default(),
+            forgotten_rules_version: cell::Cell::default(),
             evacuations: cell::RefCell::default(),
             operator_changed: Notify::new(),
             leadership: cell::RefCell::new(None),
--- a/sapphirewalk/src/entry/rules.rs
+++ b/sapphirewalk/src/entry/rules.rs
@@ -1,5 +1,6 @@
 //! Reads the operators' rules from the store and follows their changes.
 
+use std::fmt;
 use std::rc;
 use std::time;
 
@@ -38,14 +39,40 @@
     Poll(u64),
 }
 
+/// Why a step of following the table has to be repeated.
+#[derive(Clone, Copy, Debug)]
+enum FollowFault {
+    /// The call failed.
+    Failed(StoreError),
+    /// The read returned an older version of the table than the store has.
+    Behind,
+}
+
+impl From<StoreError> for FollowFault {
+    fn from(error: StoreError) -> Self {
+        Self::Failed(error)
+    }
+}
+
+impl fmt::Display for FollowFault {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Failed(error) => error.fmt(formatter),
+            Self::Behind => formatter.write_str("the read is older than a forgotten version"),
+        }
+    }
+}
+
 impl FollowStep {
     const FIRST: Self = Self::Read(READ_TIMEOUT);
 
     /// The step after this one has failed. A failed poll is followed by a read: the store answers a
     /// read at once, and an unchanged feed only at the end of the poll.
-    fn after_failure(self, error: StoreError, longest_timeout: time::Duration) -> Self {
-        match (self, error) {
-            (Self::Read(_), StoreError::Unknown) => Self::Read(longest_timeout),
+    fn after_failure(self, fault: FollowFault, longest_timeout: time::Duration) -> Self {
+        match (self, fault) {
+            (Self::Read(_), FollowFault::Failed(StoreError::Unknown)) => {
+                Self::Read(longest_timeout)
+            }
             (Self::Read(_) | Self::Poll(_), _) => Self::FIRST,
         }
     }
@@ -65,10 +92,10 @@
         };
         step = match outcome {
             Ok(next) => next,
-            Err(error) => {
-                report_failed_call(&node, step, error);
+            Err(fault) => {
+                report_fault(&node, step, fault);
                 tokio::time::sleep(RETRY_DELAY).await;
-                step.after_failure(error, longest_timeout)
+                step.after_failure(fault, longest_timeout)
             }
         };
     }
@@ -83,7 +110,7 @@
 }
 
 /// Reads the whole table.
-async fn read_table(node: &EntryNode, timeout: time::Duration) -> Result<FollowStep, StoreError> {
+async fn read_table(node: &EntryNode, timeout: time::Duration) -> Result<FollowStep, FollowFault> {
     let sent_at = node.now();
     let read = node
         .store
@@ -94,6 +121,10 @@
     for row in &page.rows {
         apply_row(node, row);
     }
+    let forgotten_version = node.forgotten_rules_version.get();
+    if forgotten_version > 0 && page.version <= forgotten_version {
+        return Err(FollowFault::Behind);
+    }
     node.confirm_rules(sent_at);
     let change = node
         .evacuations
@@ -104,7 +135,7 @@
 }
 
 /// Waits for a change.
-async fn wait_for_change(node: &EntryNode, from: u64) -> Result<FollowStep, StoreError> {
+async fn wait_for_change(node: &EntryNode, from: u64) -> Result<FollowStep, FollowFault> {
     let sent_at = node.now();
     let wait = feed_wait(node);
     let outcome = node.store.feed(store::OPERATOR_TABLE, from, wait).await;
@@ -135,19 +166,20 @@
         FeedOutcome::Compacted => {
             slog::info!(node.log, "feed_forgotten"; "table" => store::OPERATOR_TABLE,
                 "version" => from);
+            node.forgotten_rules_version.set(from);
             Ok(FollowStep::FIRST)
         }
     }
 }
 
-/// Logs a failed call, which prolongs the time without a confirmation of the rules.
-fn report_failed_call(node: &EntryNode, failed: FollowStep, error: StoreError) {
+/// Logs a fault, which prolongs the time without a confirmation of the rules.
+fn report_fault(node: &EntryNode, failed: FollowStep, fault: FollowFault) {
     let call = match failed {
         FollowStep::Read(_) => "read_rules",
         FollowStep::Poll(_) => "follow_rules",
     };
     let age = node.rules_age(node.now());
-    slog::info!(node.log, "rules_unconfirmed"; "call" => call, "error" => %error,
+    slog::info!(node.log, "rules_unconfirmed"; "call" => call, "error" => %fault,
         "version" => node.rules.borrow().version,
         "confirmed_ago" => log::show_age(age));
 }
--- a/sapphirewalk/tests/entry/store.rs
+++ b/sapphirewalk/tests/entry/store.rs
@@ -217,6 +217,34 @@
     assert_eq!(status, 404);
 }
 
+/// Most reads of the rules that a VM may send in [`CONTACT_SPAN`]: ten a second.
+const MAX_STALE_READS: u64 = 30;
+
+/// Guards against reads that are behind and count as proof of what the rules don't have.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_read_that_is_behind_does_not_confirm_the_rules() {
+    let fleet = EntryFleet::start("behind", 1).await;
+    let path = "/late/00000000000002f0";
+    let job = fleet::job(50, &[1]).to_string();
+    fleet.store.set_stale_reads(true);
+    fleet.store.compact_history();
+    let queues = [("bulk", 2), ("late", 1), ("urgent", 0)];
+    fleet.store.put_rules(2, &queues);
+    let reads_before = fleet.store.read_count("op");
+    tokio::time::sleep(CONTACT_SPAN).await;
+    let reads = fleet.store.read_count("op") - reads_before;
+    let (status, ..) = fleet.call(0, Method::POST, path, job.clone()).await;
+    assert_eq!(status, 503);
+    assert!(reads <= MAX_STALE_READS, "{reads} reads");
+    fleet.store.set_stale_reads(false);
+    fleet
+        .until("the new queue is served", async |fleet| {
+            let (status, ..) = fleet.call(0, Method::POST, path, job.clone()).await;
+            status == 200
+        })
+        .await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn jobs_are_accepted_while_each_part_of_the_store_is_slow() {
     let fleet = EntryFleet::start("slow", 2).await;
