Sample tails at a known interval while best-effort tasks run beside them

Cause: a worker's figures are reviewed when it answers a poll, and it may delay the answer by a second unless a run ends. The spans of the review assumed figures each 0.45 s. So a violation was noticed up to a second late, and each of its deadlines came up to a second late again: 1.0 s + 2.6 s rounded up to 3.0 s + 0.14 s. An early answer within 0.45 s of the last review was passed over, and the next poll waited for its full second.

In the model, with interference that the leader hasn't learned, the longest time over the target depends only on the phase between two polls: 3,390 to 4,140 ms.

A worker with service and best-effort tasks is now polled so that its figures come each second, and each 0.45 s during a violation, whichever answers come between. A violation counts from the last sample without it, the earliest time at which it may have begun. Tasks that interfere are evicted after 1.8 s of that as before, but not before pacing has had 0.9 s to help.

Ruled out: withheld evictions, since best-effort tasks have no limit of unavailable ones.

--- a/sapphirewalk_core/src/coordinator/pace.rs
+++ b/sapphirewalk_core/src/coordinator/pace.rs
@@ -36,8 +36,8 @@
 use crate::worker_registry::WorkerSlot;
 
 /// Minimum interval between samples of a worker. Its figures cover the last half second, so samples
-/// closer together would repeat the same data.
-const SAMPLE_INTERVAL: TimeSpan = TimeSpan::from_millis(450);
+/// closer together would repeat the same data. During a violation, polls make it the maximum too.
+pub(super) const SAMPLE_INTERVAL: TimeSpan = TimeSpan::from_millis(450);
 /// Duration of a violation after which one best-effort task is evicted per sample if no pace is
 /// being lowered: the model then doesn't explain the violation. With a tolerance of 4 s, which is a
 /// setting, this is more than a quarter of the tolerated time.
@@ -46,10 +46,10 @@
 /// Before, only a tail above [`PACE_DOWN_LOG`] is, since loads fluctuate on their own.
 const SUSTAINED_SPAN: TimeSpan = TimeSpan::from_millis(900);
 /// Share of the tolerated time of a violation after which all best-effort tasks that interfere are
-/// evicted.
+/// evicted, unless pacing has had less than [`SUSTAINED_SPAN`] to help.
 const INTERFERING_EVICTION_SHARE: f64 = 0.45;
-/// Share of the tolerated time of a violation after which all best-effort tasks are evicted. With a
-/// tolerance of 4 s, which is a setting, this leaves 1.4 s for the stops, which take up to 0.9 s.
+/// Share of the tolerated time of a violation after which all best-effort tasks are evicted. The rest
+/// is for the half second that figures cover, for the next sample, and for the order to take effect.
 const FULL_EVICTION_SHARE: f64 = 0.65;
 /// Log ratio above which best-effort tasks are paced down at once: 1.2 times the target. Pacing at
 /// lower values would keep tasks, and their memory, on workers where they hardly make progress.
@@ -171,8 +171,8 @@
         let entry = self.workers.get_mut(worker);
         let change = entry.violation.observe(worst, now);
         entry.load_forecasts = highest_forecasts(&tails);
-        let violating_for = change.lasting();
-        let threshold = if violating_for >= SUSTAINED_SPAN {
+        let span = change.lasting();
+        let threshold = if span.seen >= SUSTAINED_SPAN {
             tail_violation::END_LOG
         } else {
             PACE_DOWN_LOG
@@ -182,8 +182,11 @@
         let tolerance = self.limits.harm_tolerance;
         let interfering_eviction_span = tolerance.scale(INTERFERING_EVICTION_SHARE);
         let full_eviction_span = tolerance.scale(FULL_EVICTION_SHARE);
-        self.workers.get_mut(worker).closed_to_best_effort = violating_for >= full_eviction_span;
-        let mut unexplained = violating_for >= UNEXPLAINED_SPAN && !lowered;
+        let evicts_interfering =
+            span.possible >= interfering_eviction_span && span.seen >= SUSTAINED_SPAN;
+        let evicts_all = span.possible >= full_eviction_span;
+        self.workers.get_mut(worker).closed_to_best_effort = evicts_all;
+        let mut unexplained = span.seen >= UNEXPLAINED_SPAN && !lowered;
         let mut review = PaceReview {
             change,
             worst,
@@ -194,14 +197,13 @@
         };
         for pace in paces {
             let interferes = pace.interference > NEGLIGIBLE_INTERFERENCE / 2.0;
-            let evict_interfering = violating_for >= interfering_eviction_span && interferes;
-            let due = evict_interfering || violating_for >= full_eviction_span || unexplained;
+            let due = (evicts_interfering && interferes) || evicts_all || unexplained;
             let evicts = due && self.may_interrupt(pace.slot, "harm", now);
             review.withheld += usize::from(due && !evicts);
             if evicts {
                 unexplained = false;
                 review.evicted += 1;
-                self.evict(worker, &pace, worst, violating_for);
+                self.evict(worker, &pace, worst, span.possible);
             } else if pace.percent != pace.current_percent {
                 self.change_pace(worker, &pace, worst);
             }
@@ -218,8 +220,8 @@
             .count();
         let (event, duration, worst) = match review.change {
             ViolationChange::Begun => ("violation_begun", TimeSpan::ZERO, review.worst),
-            ViolationChange::Lasts(duration) if duration >= SUSTAINED_SPAN => {
-                ("violation_lasts", duration, review.worst)
+            ViolationChange::Lasts(span) if span.possible >= SUSTAINED_SPAN => {
+                ("violation_lasts", span.possible, review.worst)
             }
             ViolationChange::Ended { duration, peak } => {
                 self.load_report.violations.push(duration);
--- a/sapphirewalk_core/src/coordinator/poll_timing.rs
+++ b/sapphirewalk_core/src/coordinator/poll_timing.rs
@@ -4,8 +4,12 @@
 //! little of a lease is used up when the cut begins, and if the worker gets a new lease soon after
 //! the cut. Deployments whose leases last [`poll::LEASE_SPAN`] have time for both and are polled at
 //! the usual rate.
+//!
+//! It also answers service tasks that are over their targets beside best-effort tasks: reviews of a
+//! worker need figures at a known interval, however rarely runs end there.
 
 use crate::coordinator::JobCoordinator;
+use crate::coordinator::pace;
 use crate::coordinator::poll;
 use crate::time::TimePoint;
 use crate::time::TimeSpan;
@@ -50,6 +54,8 @@
     LaggingRenewal,
     /// A task is on trial there.
     Trial,
+    /// The figures of its service tasks, which best-effort tasks run beside, are due after this time.
+    Sample(TimeSpan),
     /// Nothing is known of it, or it did not answer the last poll: it is to answer at once.
     Silent,
     /// It did not answer the last poll, and its lease is about to end.
@@ -67,6 +73,7 @@
             Self::Renewal => RENEWAL_WAIT,
             Self::LaggingRenewal => LAGGING_RENEWAL_WAIT,
             Self::Trial => TRIAL_WAIT,
+            Self::Sample(due_in) => due_in,
             Self::Silent | Self::LeaseEnding | Self::RecordedSilent => TimeSpan::ZERO,
         }
     }
@@ -110,16 +117,38 @@
             PollTiming::RecordedSilent
         } else if entry.trial.is_some() {
             PollTiming::Trial
-        } else if renewed_often && self.start_pace.is_lagging() {
-            PollTiming::LaggingRenewal
-        } else if renewed_often {
-            PollTiming::Renewal
         } else {
-            PollTiming::Usual
+            let timing = if renewed_often && self.start_pace.is_lagging() {
+                PollTiming::LaggingRenewal
+            } else if renewed_often {
+                PollTiming::Renewal
+            } else {
+                PollTiming::Usual
+            };
+            match sample_due_in(entry, now) {
+                Some(due_in) if due_in < timing.wait() => PollTiming::Sample(due_in),
+                Some(_) | None => timing,
+            }
         }
     }
 }
 
+/// When the next figures of a worker's service tasks are due; `None` where no best-effort tasks run
+/// beside them. An answer that a run's end brings early doesn't delay them.
+fn sample_due_in(entry: &WorkerEntry, now: TimePoint) -> Option<TimeSpan> {
+    let demands = &entry.demands;
+    if demands.service_images.is_empty() || demands.best_effort_images.is_empty() {
+        return None;
+    }
+    let sampled_at = now - entry.violation.sample_age(now)?;
+    let interval = if entry.violation.is_active() {
+        pace::SAMPLE_INTERVAL
+    } else {
+        USUAL_WAIT
+    };
+    Some((sampled_at + interval).since(now))
+}
+
 /// Whether the end of a worker's lease would end a service task or many other runs.
 fn holds_many_runs(entry: &WorkerEntry) -> bool {
     entry.demands.service_cpu_millis > 0 || entry.tasks.len() >= MANY_TASKS
--- a/sapphirewalk_core/src/tail_violation.rs
+++ b/sapphirewalk_core/src/tail_violation.rs
@@ -12,9 +12,18 @@
 /// The violation of one worker, sample by sample.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct TailViolation {
-    since: Option<TimePoint>,
     sampled_at: Option<TimePoint>,
-    /// Highest log ratio of the present violation.
+    course: Option<ViolationCourse>,
+}
+
+/// A violation that isn't over.
+#[derive(Clone, Copy, Debug)]
+struct ViolationCourse {
+    /// Time of the last sample without a violation: it may have begun right after.
+    possible_since: TimePoint,
+    /// Time of the first sample that showed it.
+    seen_at: TimePoint,
+    /// Highest log ratio.
     peak: f64,
 }
 
@@ -25,55 +34,80 @@
     Calm,
     /// A violation begins.
     Begun,
-    /// The violation has lasted for this time.
-    Lasts(TimeSpan),
+    /// The violation lasts.
+    Lasts(ViolationSpan),
     /// The violation is over.
     Ended {
-        /// How long it lasted.
+        /// How long it has lasted at most.
         duration: TimeSpan,
         /// Its highest log ratio.
         peak: f64,
     },
 }
 
+/// How long a violation has lasted.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct ViolationSpan {
+    /// Since the first sample that showed it.
+    pub seen: TimeSpan,
+    /// Since the last sample without it: at most so long.
+    pub possible: TimeSpan,
+}
+
 impl TailViolation {
     /// Time since the last sample; `None` before the first.
     pub fn sample_age(&self, now: TimePoint) -> Option<TimeSpan> {
         self.sampled_at.map(|sampled_at| now.since(sampled_at))
     }
 
+    /// Whether a violation has begun and isn't over.
+    pub const fn is_active(&self) -> bool {
+        self.course.is_some()
+    }
+
     /// Adds a sample. `worst` is the logarithm of the worst tail on the worker divided by its
     /// target.
     pub fn observe(&mut self, worst: f64, now: TimePoint) -> ViolationChange {
-        self.sampled_at = Some(now);
-        match self.since {
-            Some(since) if worst > END_LOG => {
-                self.peak = self.peak.max(worst);
-                ViolationChange::Lasts(now.since(since))
+        let sampled_at = self.sampled_at.replace(now);
+        let Some(course) = &mut self.course else {
+            if worst <= START_LOG {
+                return ViolationChange::Calm;
             }
-            Some(since) => {
-                self.since = None;
-                ViolationChange::Ended {
-                    duration: now.since(since),
-                    peak: self.peak,
-                }
-            }
-            None if worst > START_LOG => {
-                self.since = Some(now);
-                self.peak = worst;
-                ViolationChange::Begun
-            }
-            None => ViolationChange::Calm,
+            self.course = Some(ViolationCourse {
+                possible_since: sampled_at.unwrap_or(now),
+                seen_at: now,
+                peak: worst,
+            });
+            return ViolationChange::Begun;
+        };
+        if worst > END_LOG {
+            course.peak = course.peak.max(worst);
+            return ViolationChange::Lasts(course.span(now));
+        }
+        let ended = ViolationChange::Ended {
+            duration: course.span(now).possible,
+            peak: course.peak,
+        };
+        self.course = None;
+        ended
+    }
+}
+
+impl ViolationCourse {
+    fn span(&self, now: TimePoint) -> ViolationSpan {
+        ViolationSpan {
+            seen: now.since(self.seen_at),
+            possible: now.since(self.possible_since),
         }
     }
 }
 
 impl ViolationChange {
-    /// How long a violation has lasted that isn't over; zero if there is none.
-    pub const fn lasting(self) -> TimeSpan {
+    /// How long a violation has lasted that the sample shows; zero if it shows none.
+    pub fn lasting(self) -> ViolationSpan {
         match self {
-            Self::Lasts(duration) => duration,
-            Self::Calm | Self::Begun | Self::Ended { .. } => TimeSpan::ZERO,
+            Self::Lasts(span) => span,
+            Self::Calm | Self::Begun | Self::Ended { .. } => ViolationSpan::default(),
         }
     }
 }
