End a violation after two low samples in a row

A service task could stay over its target while the leader's detection started over: one sample below 0.88 of the target ended a violation, and the spans until eviction began anew with the next one.

A violation now ends with the second low sample in a row, and meanwhile counts from its first. A low sample alone evicts nothing.

--- a/sapphirewalk_core/src/coordinator/pace.rs
+++ b/sapphirewalk_core/src/coordinator/pace.rs
@@ -227,7 +227,7 @@
                 self.load_report.violations.push(duration);
                 ("violation_ended", duration, peak)
             }
-            ViolationChange::Calm | ViolationChange::Lasts(_) => return,
+            ViolationChange::Calm | ViolationChange::Lasts(_) | ViolationChange::Fades => return,
         };
         if best_effort == 0 && event != "violation_ended" {
             return;
--- a/sapphirewalk_core/src/tail_violation.rs
+++ b/sapphirewalk_core/src/tail_violation.rs
@@ -5,8 +5,8 @@
 
 /// Log ratio above which a violation starts: 0.97 of the target.
 const START_LOG: f64 = -0.03;
-/// Log ratio below which a violation ends: 0.88 of the target. The distance to [`START_LOG`] is
-/// hysteresis, since samples are noisy.
+/// Log ratio below which two samples in a row end a violation: 0.88 of the target. The distance to
+/// [`START_LOG`] is hysteresis, since samples are noisy.
 pub const END_LOG: f64 = -0.13;
 
 /// The violation of one worker, sample by sample.
@@ -25,6 +25,8 @@
     seen_at: TimePoint,
     /// Highest log ratio.
     peak: f64,
+    /// The last sample was below [`END_LOG`].
+    is_fading: bool,
 }
 
 /// What a sample changes.
@@ -36,6 +38,8 @@
     Begun,
     /// The violation lasts.
     Lasts(ViolationSpan),
+    /// One sample is below [`END_LOG`], which may be noise.
+    Fades,
     /// The violation is over.
     Ended {
         /// How long it has lasted at most.
@@ -77,13 +81,19 @@
                 possible_since: sampled_at.unwrap_or(now),
                 seen_at: now,
                 peak: worst,
+                is_fading: false,
             });
             return ViolationChange::Begun;
         };
         if worst > END_LOG {
             course.peak = course.peak.max(worst);
+            course.is_fading = false;
             return ViolationChange::Lasts(course.span(now));
         }
+        if !course.is_fading {
+            course.is_fading = true;
+            return ViolationChange::Fades;
+        }
         let ended = ViolationChange::Ended {
             duration: course.span(now).possible,
             peak: course.peak,
@@ -107,7 +117,7 @@
     pub fn lasting(self) -> ViolationSpan {
         match self {
             Self::Lasts(span) => span,
-            Self::Calm | Self::Begun | Self::Ended { .. } => ViolationSpan::default(),
+            Self::Calm | Self::Begun | Self::Fades | Self::Ended { .. } => ViolationSpan::default(),
         }
     }
 }
