Start no best-effort task where others are being evicted

Best-effort tasks kept on harming a service task while its worker was being cleared of them: new ones, or those just evicted, started there until 2.6 s of the violation, and again after the first low sample.

Cause: a worker was closed to best-effort work only once all of it was evicted, and reopened by a sample without a violation. It is now closed from the first eviction on, until the violation is over. A job with nothing running may still place one task there, as before.

The test failed before: six starts of a job there, one allowed.

--- a/sapphirewalk_core/src/coordinator/pace.rs
+++ b/sapphirewalk_core/src/coordinator/pace.rs
@@ -185,8 +185,10 @@
         let evicts_interfering =
             span.possible >= interfering_eviction_span && span.seen >= SUSTAINED_SPAN;
         let evicts_all = span.possible >= full_eviction_span;
-        self.workers.get_mut(worker).closed_to_best_effort = evicts_all;
         let mut unexplained = span.seen >= UNEXPLAINED_SPAN && !lowered;
+        let entry = self.workers.get_mut(worker);
+        entry.closed_to_best_effort = entry.violation.is_active()
+            && (entry.closed_to_best_effort || evicts_interfering || evicts_all || unexplained);
         let mut review = PaceReview {
             change,
             worst,
--- a/sapphirewalk_core/tests/coordinator/harm.rs
+++ b/sapphirewalk_core/tests/coordinator/harm.rs
@@ -1,5 +1,6 @@
 //! Best-effort tasks that interfere with a service in a way that the leader hasn't learned.
 
+use sapphirewalk_core::job_spec::JobId;
 use sapphirewalk_core::time::TimeSpan;
 
 use crate::simulation;
@@ -14,9 +15,9 @@
 /// Longest time between two answers of a worker to polls.
 const POLL_MS: u64 = 1_000;
 
-/// Runs a service beside best-effort tasks that outlast the trial, of which one image begins to
-/// interfere at `change_ms`. Returns the longest time over the target.
-fn longest_over_target_ms(seed: u64, change_ms: u64, images: u64, tasks: u16) -> u64 {
+/// A service beside best-effort tasks that outlast the trial, of which one image begins to interfere
+/// at `change_ms`, where the trial stands then.
+fn begin_trial(seed: u64, change_ms: u64, images: u64, tasks: u16) -> ClusterSimulation {
     let mut simulation = ClusterSimulation::new(seed, 1, FaultPlan::default());
     simulation.harm_tolerance_ms = HARM_BOUND_MS;
     let mut service = simulation::step(1, 3_000, 1_000, &[]);
@@ -33,6 +34,12 @@
     simulation.run_until(change_ms);
     let pair = ("f0".to_owned(), "s0".to_owned());
     simulation.interfering_images.push(pair);
+    simulation
+}
+
+/// The longest time over the target in a trial.
+fn longest_over_target_ms(seed: u64, change_ms: u64, images: u64, tasks: u16) -> u64 {
+    let mut simulation = begin_trial(seed, change_ms, images, tasks);
     simulation.run_until(change_ms + 12_000);
     assert_eq!(simulation.violations, Vec::<String>::new(), "seed {seed}");
     simulation.longest_over_target_ms
@@ -53,3 +60,39 @@
         }
     }
 }
+
+/// Guards against tasks that are evicted and start again on the same worker, or others in their
+/// place, while the service task is still over its target. One task of a job with nothing running may.
+#[test]
+fn no_best_effort_task_starts_where_others_are_being_evicted() {
+    for images in 2..6 {
+        let mut simulation = begin_trial(images, CHANGE_MS, images, 6);
+        let mut now_ms = CHANGE_MS;
+        let evictions = |simulation: &ClusterSimulation| {
+            let reasons = simulation.stop_reasons.iter();
+            reasons.filter(|reason| *reason == "harm").count()
+        };
+        while evictions(&simulation) == 0 && now_ms < CHANGE_MS + HARM_BOUND_MS {
+            now_ms += 5;
+            simulation.run_until(now_ms);
+        }
+        let starts_of = |simulation: &ClusterSimulation, image: u64| {
+            let starts = simulation.starts.iter();
+            let of_image = starts.filter(|(task, _)| task.job == JobId(100 + image));
+            of_image.map(|(_, count)| count).sum::<u32>()
+        };
+        let before: Vec<u32> = (0..images)
+            .map(|image| starts_of(&simulation, image))
+            .collect();
+        let mut over_target_ms = 0;
+        while simulation.over_target_ms > over_target_ms {
+            over_target_ms = simulation.over_target_ms;
+            for (image, starts) in (0..images).zip(&before) {
+                let new_starts = starts_of(&simulation, image) - starts;
+                assert!(new_starts <= 1, "{new_starts} starts, {images} images");
+            }
+            now_ms += 5;
+            simulation.run_until(now_ms);
+        }
+    }
+}
