Evict best-effort tasks only while a tail is above its target

Some were for a tail of 0.89 of its target, which only keeps the violation from ending, and some after a tail had been far below it.

Evictions now need a sample above 0.97 of the target, and one sample below 0.7 of it ends a violation.

Tests of both samples failed before (the states did not exist).

--- a/sapphirewalk_core/src/coordinator/pace.rs
+++ b/sapphirewalk_core/src/coordinator/pace.rs
@@ -182,10 +182,11 @@
         let tolerance = self.limits.harm_tolerance;
         let interfering_eviction_span = tolerance.scale(INTERFERING_EVICTION_SHARE);
         let full_eviction_span = tolerance.scale(FULL_EVICTION_SHARE);
-        let evicts_interfering =
-            span.possible >= interfering_eviction_span && span.seen >= SUSTAINED_SPAN;
-        let evicts_all = span.possible >= full_eviction_span;
-        let mut unexplained = span.seen >= UNEXPLAINED_SPAN && !lowered;
+        let evicts_interfering = change.is_over()
+            && span.possible >= interfering_eviction_span
+            && span.seen >= SUSTAINED_SPAN;
+        let evicts_all = change.is_over() && span.possible >= full_eviction_span;
+        let mut unexplained = change.is_over() && span.seen >= UNEXPLAINED_SPAN && !lowered;
         let entry = self.workers.get_mut(worker);
         entry.closed_to_best_effort = entry.violation.is_active()
             && (entry.closed_to_best_effort || evicts_interfering || evicts_all || unexplained);
@@ -222,14 +223,16 @@
             .count();
         let (event, duration, worst) = match review.change {
             ViolationChange::Begun => ("violation_begun", TimeSpan::ZERO, review.worst),
-            ViolationChange::Lasts(span) if span.possible >= SUSTAINED_SPAN => {
+            ViolationChange::Lasts { span, .. } if span.possible >= SUSTAINED_SPAN => {
                 ("violation_lasts", span.possible, review.worst)
             }
             ViolationChange::Ended { duration, peak } => {
                 self.load_report.violations.push(duration);
                 ("violation_ended", duration, peak)
             }
-            ViolationChange::Calm | ViolationChange::Lasts(_) | ViolationChange::Fades => return,
+            ViolationChange::Calm | ViolationChange::Lasts { .. } | ViolationChange::Fades => {
+                return;
+            }
         };
         if best_effort == 0 && event != "violation_ended" {
             return;
--- a/sapphirewalk_core/src/tail_violation.rs
+++ b/sapphirewalk_core/src/tail_violation.rs
@@ -8,6 +8,8 @@
 /// Log ratio below which two samples in a row end a violation: 0.88 of the target. The distance to
 /// [`START_LOG`] is hysteresis, since samples are noisy.
 pub const END_LOG: f64 = -0.13;
+/// Log ratio below which one sample ends a violation: 0.7 of the target.
+const CLEAR_LOG: f64 = -0.35;
 
 /// The violation of one worker, sample by sample.
 #[derive(Clone, Copy, Debug, Default)]
@@ -37,7 +39,12 @@
     /// A violation begins.
     Begun,
     /// The violation lasts.
-    Lasts(ViolationSpan),
+    Lasts {
+        /// For how long.
+        span: ViolationSpan,
+        /// The tail is above its target now, not only near it.
+        is_over: bool,
+    },
     /// One sample is below [`END_LOG`], which may be noise.
     Fades,
     /// The violation is over.
@@ -88,9 +95,12 @@
         if worst > END_LOG {
             course.peak = course.peak.max(worst);
             course.is_fading = false;
-            return ViolationChange::Lasts(course.span(now));
+            return ViolationChange::Lasts {
+                span: course.span(now),
+                is_over: worst > START_LOG,
+            };
         }
-        if !course.is_fading {
+        if !course.is_fading && worst > CLEAR_LOG {
             course.is_fading = true;
             return ViolationChange::Fades;
         }
@@ -113,10 +123,15 @@
 }
 
 impl ViolationChange {
+    /// Whether the sample shows a tail above its target in a violation that had begun before.
+    pub const fn is_over(self) -> bool {
+        matches!(self, Self::Lasts { is_over: true, .. })
+    }
+
     /// How long a violation has lasted that the sample shows; zero if it shows none.
     pub fn lasting(self) -> ViolationSpan {
         match self {
-            Self::Lasts(span) => span,
+            Self::Lasts { span, .. } => span,
             Self::Calm | Self::Begun | Self::Fades | Self::Ended { .. } => ViolationSpan::default(),
         }
     }
--- a/sapphirewalk_core/tests/tail_violation.rs
+++ b/sapphirewalk_core/tests/tail_violation.rs
@@ -10,8 +10,12 @@
 
 /// Log ratio of a tail over its target.
 const OVER: f64 = 0.1;
-/// Log ratio of a tail well below its target.
-const BELOW: f64 = -0.5;
+/// Log ratio of a tail near its target.
+const NEAR: f64 = -0.1;
+/// Log ratio of a tail below its target.
+const BELOW: f64 = -0.2;
+/// Log ratio of a tail far below its target.
+const FAR_BELOW: f64 = -0.5;
 
 fn at(millis: u64) -> TimePoint {
     TimePoint::from_millis(1_000_000 + millis)
@@ -27,7 +31,8 @@
         possible: TimeSpan::from_millis(1_450),
     };
     let change = violation.observe(OVER, at(1_450));
-    assert_eq!(change, ViolationChange::Lasts(span));
+    let is_over = true;
+    assert_eq!(change, ViolationChange::Lasts { span, is_over });
 }
 
 /// Guards against a detection that starts over at each sample that is too low.
@@ -55,3 +60,22 @@
     assert_eq!(violation.observe(BELOW, at(1_400)), ended);
     assert!(!violation.is_active());
 }
+
+#[test]
+fn one_sample_far_below_the_target_ends_a_violation() {
+    let mut violation = TailViolation::default();
+    violation.observe(OVER, at(500));
+    let change = violation.observe(FAR_BELOW, at(950));
+    assert!(matches!(change, ViolationChange::Ended { .. }));
+}
+
+/// Guards against evictions for a tail that is back below its target.
+#[test]
+fn a_tail_near_its_target_prolongs_a_violation_without_being_over() {
+    let mut violation = TailViolation::default();
+    violation.observe(OVER, at(500));
+    let change = violation.observe(NEAR, at(950));
+    assert_eq!(change.lasting().seen, TimeSpan::from_millis(450));
+    assert!(!change.is_over());
+    assert!(violation.observe(OVER, at(1_400)).is_over());
+}
