--- a/sapphirewalk/src/entry/rules.rs
+++ b/sapphirewalk/src/entry/rules.rs
@@ -134,7 +134,7 @@
     Ok(FollowStep::Poll(page.version))
 }
 
-/// Waits for a change.
+/// Follows the feed for one poll, from a version that this process has read.
 async fn wait_for_change(node: &EntryNode, from: u64) -> Result<FollowStep, FollowFault> {
     let sent_at = node.now();
     let wait = feed_wait(node);
--- a/sapphirewalk_core/src/tail_violation.rs
+++ b/sapphirewalk_core/src/tail_violation.rs
@@ -5,8 +5,8 @@
 
 /// Log ratio above which a violation starts: 0.97 of the target.
 const START_LOG: f64 = -0.03;
-/// Log ratio below which two samples in a row end a violation: 0.88 of the target. The distance to
-/// [`START_LOG`] is hysteresis, since samples are noisy.
+/// Log ratio below which two samples in a row end a violation: 0.88 of the target. It is lower than the
+/// one that starts a violation, since samples are noisy.
 pub const END_LOG: f64 = -0.13;
 /// Log ratio below which one sample ends a violation: 0.7 of the target.
 const CLEAR_LOG: f64 = -0.35;
