--- /dev/null
+++ b/review/rig/src/cases/mod.rs
@@ -0,0 +1,6 @@
+//! The cases of the review.
+
+pub mod batch;
+pub mod crashes;
+pub mod ends;
+pub mod kind;
