--- a/sapphirewalk/tests/entry/fleet.rs
+++ b/sapphirewalk/tests/entry/fleet.rs
@@ -34,7 +34,8 @@
 pub struct EntryProcess {
     name: String,
     settings: path::PathBuf,
-    child: Option<process::Child>,
+    /// The process, while it runs.
+    pub child: Option<process::Child>,
     /// Whether standard output is a pipe of which only the first line is read.
     log_unread: bool,
     /// Address for requests of callers.
