Limit the heads that servers for callers read

Callers saw a process end because it ran out of memory while clients sent heads over the limit or without end, or empty lines before a request.

Cause: all five servers built their connections with the HTTP library's default read buffer, about 400 KB for each connection. 300 such clients took 116 to 160 MB.

Ruled out: the bodies' limit, since these clients send no body; the decoded head, since a head that doesn't end is never decoded.

Change: one builder for all servers, whose read buffer holds 16 KiB. The library answers a longer head with 431 and closes the connection.

--- a/sapphirewalk/src/admin.rs
+++ b/sapphirewalk/src/admin.rs
@@ -10,11 +10,11 @@
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Incoming;
-use hyper::server::conn::http1;
 use hyper::service;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
 
+use crate::caller_server;
 use crate::process::DaemonProcess;
 use crate::state;
 
@@ -48,7 +48,7 @@
                 async move { Ok::<_, Infallible>(response) }
             });
             // An error means that the caller closed or broke the connection.
-            let _ = http1::Builder::new()
+            let _ = caller_server::connection_builder()
                 .serve_connection(TokioIo::new(stream), serve)
                 .await;
         });
--- a/sapphirewalk/src/entry/callers.rs
+++ b/sapphirewalk/src/entry/callers.rs
@@ -12,7 +12,6 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
-use hyper::server::conn::http1;
 use hyper::service;
 use hyper_util::rt::TokioIo;
 use sapphirewalk_core::coordinator::Event;
@@ -32,6 +31,7 @@
 use tokio::net::TcpStream;
 use tokio::task;
 
+use crate::caller_server;
 use crate::entry::log;
 use crate::entry::node::EntryNode;
 use crate::entry::records;
@@ -126,7 +126,8 @@
         let node = node.clone();
         async move { Ok::<_, convert::Infallible>(handle(&node, request).await) }
     });
-    let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), handler);
+    let connection =
+        caller_server::connection_builder().serve_connection(TokioIo::new(stream), handler);
     tokio::pin!(connection);
     tokio::select! {
         _ended = connection.as_mut() => return,
--- a/sapphirewalk/src/entry/mod.rs
+++ b/sapphirewalk/src/entry/mod.rs
@@ -29,13 +29,13 @@
 use http_body_util::Full;
 use hyper::Response;
 use hyper::StatusCode;
-use hyper::server::conn::http1;
 use hyper::service;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
 use tokio::signal::unix;
 use tokio::task;
 
+use crate::caller_server;
 use crate::cli;
 use crate::cli::EntryOptions;
 use crate::entry::callers::ConnectionDrain;
@@ -223,7 +223,7 @@
                 async move { Ok::<_, convert::Infallible>(response) }
             });
             // Clients may close the connection at any time.
-            let _ended = http1::Builder::new()
+            let _ended = caller_server::connection_builder()
                 .serve_connection(TokioIo::new(stream), handler)
                 .await;
         });
--- a/sapphirewalk/src/gateway/server.rs
+++ b/sapphirewalk/src/gateway/server.rs
@@ -15,7 +15,6 @@
 use hyper::body::Incoming;
 use hyper::header;
 use hyper::header::HeaderValue;
-use hyper::server::conn::http1;
 use hyper::service;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
@@ -26,6 +25,7 @@
 use sapphirewalk_core::admission::RequestOrigin;
 use sapphirewalk_wire::endpoint;
 
+use crate::caller_server;
 use crate::gateway::attempt;
 use crate::gateway::outcome::NotRunReason;
 use crate::gateway::outcome::RequestFault;
@@ -71,7 +71,7 @@
         return;
     };
     let serve = service::service_fn(|request| answer(Arc::clone(&gateway), request));
-    let connection = http1::Builder::new()
+    let connection = caller_server::connection_builder()
         .timer(TokioTimer::new())
         .serve_connection(TokioIo::new(stream), serve);
     let mut connection = pin::pin!(connection);
--- a/sapphirewalk/src/main.rs
+++ b/sapphirewalk/src/main.rs
@@ -8,6 +8,7 @@
 
 mod admin;
 mod audit;
+mod caller_server;
 mod cli;
 mod clock;
 mod command;
--- a/sapphirewalk/src/scheduler/api/server.rs
+++ b/sapphirewalk/src/scheduler/api/server.rs
@@ -13,7 +13,6 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
-use hyper::server::conn::http1;
 use hyper::service;
 use hyper_util::rt::TokioIo;
 use hyper_util::server::graceful::GracefulShutdown;
@@ -21,6 +20,7 @@
 
 use sapphirewalk_wire::task::TASKS_PATH;
 
+use crate::caller_server;
 use crate::process::DaemonProcess;
 use crate::scheduler::api::answer;
 use crate::scheduler::api::answer::ApiError;
@@ -70,7 +70,8 @@
             let context = Arc::clone(&context);
             async move { Ok::<_, Infallible>(respond(&context, request).await) }
         });
-        let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), serve);
+        let connection =
+            caller_server::connection_builder().serve_connection(TokioIo::new(stream), serve);
         let watched = graceful.watch(connection);
         tokio::spawn(async move {
             // An error means that the caller's connection broke.
