Decide which connections of callers to keep

The decisions of the servers' budget, without I/O: whether another connection may be opened or more of a body may be read, which connection is closed for it, and whether one makes progress.

A connection whose request was received completely is never chosen. Of the others, the one with the least progress is: by the time of its last byte, but no more than the begin of its request and the time of what it has sent at a usual rate.

--- a/sapphirewalk_core/src/connection_budget.rs
+++ b/sapphirewalk_core/src/connection_budget.rs
@@ -1,8 +1,10 @@
 //! Limits what the callers of a server make it hold: connections, and the memory of request bodies.
 //!
 //! A connection whose request has been received completely is never closed to make room. Of the
-//! others, the one that has made the least progress is closed first: its request began longest ago,
-//! less the time that the part of its body received so far takes at [`BudgetLimits::min_rate`].
+//! others, the one that has made the least progress is closed first. Its progress is the time of its
+//! last byte, but no more than the begin of its request and the time that what has been received
+//! takes at [`BudgetLimits::usual_rate`]: neither a caller that has stopped nor one that sends a
+//! little now and then keeps others out.
 
 use crate::time::TimePoint;
 use crate::time::TimeSpan;
@@ -28,6 +30,8 @@
     pub answer_timeout: TimeSpan,
     /// Slowest rate at which a caller has to send a body, in bytes per second; at least 1.
     pub min_rate: u64,
+    /// Rate at which a caller makes full progress, in bytes per second; at least 1.
+    pub usual_rate: u64,
 }
 
 /// A connection in a [`ConnectionBudget`]. It isn't valid for a later one in the same place.
@@ -98,6 +102,8 @@
     since: TimePoint,
     /// Bytes of the body received so far.
     received: u64,
+    /// When the last bytes of the body were received; before them, the begin of the phase.
+    received_at: TimePoint,
     /// When a check first found the connection overdue, unless it has made progress since.
     overdue_at: Option<TimePoint>,
 }
@@ -110,6 +116,22 @@
     reserved: usize,
 }
 
+impl ConnectionEntry {
+    /// When a caller that sends at `rate`, in bytes per second, would have sent what was received.
+    fn received_by(&self, rate: u64) -> TimePoint {
+        let micros = self.received.saturating_mul(MICROS_PER_SECOND) / rate.max(1);
+        self.since + TimeSpan::from_micros(micros)
+    }
+}
+
+impl ConnectionPlace {
+    /// Whether closing the connection releases reserved memory.
+    fn holds_incomplete_body(&self) -> bool {
+        let phase = self.entry.as_ref().map(|entry| entry.phase);
+        self.reserved > 0 && phase == Some(ConnectionPhase::Body)
+    }
+}
+
 /// Connections of a server and the memory reserved for their bodies.
 #[derive(Clone, Debug)]
 pub struct ConnectionBudget {
@@ -184,6 +206,7 @@
             phase: ConnectionPhase::Idle,
             since: now,
             received: 0,
+            received_at: now,
             overdue_at: None,
         });
         OpenStep::Opened(ConnectionKey {
@@ -245,7 +268,7 @@
         if self.is_closing(|place| place.reserved > 0) {
             return ReserveStep::Wait;
         }
-        match self.least_progress(|place| place.reserved > 0) {
+        match self.least_progress(ConnectionPlace::holds_incomplete_body) {
             Some((other, progress)) if other != key && progress <= self.progress_of(key) => {
                 self.set_phase(other, ConnectionPhase::Closing, now);
                 ReserveStep::CloseFirst(other)
@@ -266,9 +289,10 @@
     }
 
     /// Records that a part of a body has been received.
-    pub fn record_body(&mut self, key: ConnectionKey, bytes: usize) {
+    pub fn record_body(&mut self, key: ConnectionKey, bytes: usize, now: TimePoint) {
         if let Some(entry) = self.open_entry(key) {
             entry.received = entry.received.saturating_add(bytes as u64);
+            entry.received_at = now;
             entry.overdue_at = None;
         }
     }
@@ -329,7 +353,10 @@
         let entry = self.entry(key)?;
         match entry.phase {
             ConnectionPhase::Head => Some(entry.since + self.limits.head_timeout),
-            ConnectionPhase::Body => Some(self.progress(entry) + self.limits.body_timeout),
+            ConnectionPhase::Body => {
+                let due_at = entry.received_by(self.limits.min_rate);
+                Some(due_at + self.limits.body_timeout)
+            }
             ConnectionPhase::Answering => Some(entry.since + self.limits.answer_timeout),
             ConnectionPhase::Idle | ConnectionPhase::Serving | ConnectionPhase::Closing => None,
         }
@@ -337,8 +364,8 @@
 
     /// The earlier, the less progress.
     fn progress(&self, entry: &ConnectionEntry) -> TimePoint {
-        let micros = entry.received.saturating_mul(MICROS_PER_SECOND) / self.limits.min_rate.max(1);
-        entry.since + TimeSpan::from_micros(micros)
+        let usual = entry.received_by(self.limits.usual_rate);
+        usual.min(entry.received_at)
     }
 
     fn progress_of(&self, key: ConnectionKey) -> Option<TimePoint> {
@@ -381,6 +408,7 @@
                 phase,
                 since,
                 received: 0,
+                received_at: since,
                 overdue_at: None,
             };
         }
--- a/sapphirewalk_core/src/lib.rs
+++ b/sapphirewalk_core/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod batch_policy;
 pub mod concurrency_limit;
 pub mod config_check;
+pub mod connection_budget;
 pub mod coordinator;
 pub mod crash_history;
 pub mod deadline;
--- a/sapphirewalk_core/tests/connection_budget.rs
+++ b/sapphirewalk_core/tests/connection_budget.rs
@@ -24,6 +24,7 @@
     body_timeout: TimeSpan::from_millis(5_000),
     answer_timeout: TimeSpan::from_millis(8_000),
     min_rate: 100,
+    usual_rate: 1_000,
 };
 
 fn at(millis: u64) -> TimePoint {
@@ -47,7 +48,7 @@
 
 fn reserve(budget: &mut ConnectionBudget, key: ConnectionKey, bytes: usize, now: TimePoint) {
     assert_eq!(budget.reserve(key, bytes, now), ReserveStep::Reserved);
-    budget.record_body(key, bytes);
+    budget.record_body(key, bytes, now);
 }
 
 #[test]
@@ -91,6 +92,27 @@
     reserve(&mut budget, ordinary, 200, at(9_000));
 }
 
+#[test]
+fn a_stalled_request_that_is_almost_complete_makes_room() {
+    let mut budget = ConnectionBudget::new(LIMITS);
+    let stalled = opened_with_body(&mut budget, at(0));
+    reserve(&mut budget, stalled, 999, at(0));
+    let ordinary = opened_with_body(&mut budget, at(500));
+    let step = budget.reserve(ordinary, 10, at(500));
+    assert_eq!(step, ReserveStep::CloseFirst(stalled));
+}
+
+#[test]
+fn a_request_that_arrives_byte_by_byte_makes_room() {
+    let mut budget = ConnectionBudget::new(LIMITS);
+    let slow = opened_with_body(&mut budget, at(0));
+    reserve(&mut budget, slow, 950, at(0));
+    budget.record_body(slow, 1, at(2_000));
+    let ordinary = opened_with_body(&mut budget, at(2_000));
+    let step = budget.reserve(ordinary, 100, at(2_000));
+    assert_eq!(step, ReserveStep::CloseFirst(slow));
+}
+
 #[test]
 fn a_stalled_request_gets_no_memory_of_one_that_makes_progress() {
     let mut budget = ConnectionBudget::new(LIMITS);
@@ -287,7 +309,7 @@
             match budget.reserve(one.key, bytes, *now) {
                 ReserveStep::Reserved => {
                     one.reserved += bytes;
-                    budget.record_body(one.key, bytes);
+                    budget.record_body(one.key, bytes, *now);
                     assert!(budget.reserved_bytes() <= budget.limits().body_bytes);
                 }
                 ReserveStep::CloseFirst(other) => {
