Bound the connections and the body memory of callers

Callers saw a process end for lack of memory, or got 503 because it had no descriptor left for the store, while other clients held connections or sent bodies that they didn't finish.

Cause: nothing counted what a process holds for its callers. A body had a limit, their sum had none; no connection had a time limit in any state (the gateway's heads had the library's 30 s); there was no limit of connections. A body in chunks of one byte cost 20 times its length, since collected chunks each keep a handle and what they were cut from.

Ruled out: a memory leak (the peaks stay at the same level when another crowd comes); the kernel's socket buffers, which aren't the process's memory.

Change: the servers for callers, readiness, metrics and admin requests share one way of serving a connection, with a budget for each address. A quarter of the VM's memory is for callers, half of it for connections and half for bodies, and a quarter of the descriptors. Bodies are copied into one buffer, whose memory is reserved as it grows, with that of the copies made later. At the limits, what made the least progress is closed; a request that was received completely never is. Requests that can't be held get 503 with Retry-After, and have not run. Connections without progress are closed after a time. What the caller still sends is read for a second after a refusal, so that the answer isn't lost by a reset. Refusals are counted by reason, and logged once a second for each.

--- a/sapphirewalk/src/admin.rs
+++ b/sapphirewalk/src/admin.rs
@@ -1,8 +1,9 @@
 //! HTTP server of the admin address: liveness, readiness and the state dump.
 
-use std::convert::Infallible;
+use std::future;
 use std::io;
 use std::sync::Arc;
+use std::time;
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -10,11 +11,10 @@
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Incoming;
-use hyper::service;
-use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
 
-use crate::caller_server;
+use crate::caller_server::CallerServer;
+use crate::caller_server::ServerLimits;
 use crate::process::DaemonProcess;
 use crate::state;
 
@@ -25,32 +25,37 @@
 /// State dump in JSON.
 pub const STATE_PATH: &str = "/state";
 
+/// Delay after a failed `accept` call.
+const ACCEPT_RETRY_DELAY: time::Duration = time::Duration::from_millis(20);
+
 /// Binds the admin address and serves it in a background task until the process ends.
 ///
 /// # Errors
 ///
 /// If the address can't be bound.
-pub async fn serve(process: &Arc<DaemonProcess>) -> io::Result<()> {
+pub async fn serve(process: &Arc<DaemonProcess>, limits: ServerLimits) -> io::Result<()> {
     let listener = TcpListener::bind(process.settings.listen.admin).await?;
-    tokio::spawn(accept_all(Arc::clone(process), listener));
+    let server = CallerServer::new("admin", limits, process.clock, process.logger.clone());
+    tokio::spawn(accept_all(Arc::clone(process), server, listener));
     Ok(())
 }
 
-async fn accept_all(process: Arc<DaemonProcess>, listener: TcpListener) {
+async fn accept_all(process: Arc<DaemonProcess>, server: Arc<CallerServer>, listener: TcpListener) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
+            // For example, no file descriptor is free.
+            tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+            continue;
+        };
+        let Some(connection) = server.admit().await else {
             continue;
         };
         let process = Arc::clone(&process);
         tokio::spawn(async move {
-            let serve = service::service_fn(|request| {
-                let response = respond(&process, &request);
-                async move { Ok::<_, Infallible>(response) }
-            });
-            // An error means that the caller closed or broke the connection.
-            let _ = caller_server::connection_builder()
-                .serve_connection(TokioIo::new(stream), serve)
-                .await;
+            let answer = |request: Request<Incoming>, _connection| {
+                future::ready(respond(&process, &request))
+            };
+            connection.serve(stream, answer, future::pending()).await;
         });
     }
 }
--- a/sapphirewalk/src/config/check.rs
+++ b/sapphirewalk/src/config/check.rs
@@ -129,6 +129,9 @@
 }
 
 fn check_platform(settings: &Settings) -> Result<(), ConfigError> {
+    if let Some((field, remedy)) = settings.limits.find_fault() {
+        return reject_field(field, remedy);
+    }
     if settings.platform.timeout_ms == 0 {
         return reject_field("platform.timeout_ms", "is 0; set at least 1 ms");
     }
--- a/sapphirewalk/src/config/mod.rs
+++ b/sapphirewalk/src/config/mod.rs
@@ -12,6 +12,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::caller_server::ResourceSettings;
 pub use crate::config::error::ConfigError;
 pub use crate::config::gateway::GatewaySettings;
 pub use crate::config::scheduler::SchedulerSettings;
@@ -42,6 +43,9 @@
     /// Log filter.
     #[serde(default)]
     pub log: LogSettings,
+    /// What the process may use.
+    #[serde(default)]
+    pub limits: ResourceSettings,
     /// Limits and times of the gateway; schedulers ignore them.
     #[serde(default)]
     pub gateway: GatewaySettings,
--- a/sapphirewalk/src/entry/callers.rs
+++ b/sapphirewalk/src/entry/callers.rs
@@ -1,19 +1,15 @@
 //! HTTP server for callers. A job is stored before it is accepted, and a repeated submission
 //! doesn't store it twice.
 
-use std::convert;
 use std::rc;
+use std::sync;
 use std::time;
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
-use hyper::service;
-use hyper_util::rt::TokioIo;
 use sapphirewalk_core::coordinator::Event;
 use sapphirewalk_core::coordinator::JobRecord;
 use sapphirewalk_core::job_registry::JobState;
@@ -31,7 +27,8 @@
 use tokio::net::TcpStream;
 use tokio::task;
 
-use crate::caller_server;
+use crate::caller_server::BodyFault;
+use crate::caller_server::ConnectionHandle;
 use crate::entry::log;
 use crate::entry::node::EntryNode;
 use crate::entry::records;
@@ -55,6 +52,12 @@
 /// Maximum age of a pending-job count that is served while the coordinator doesn't answer. Callers
 /// accept counts that are up to 2 s old.
 const MAX_PENDING_COUNT_AGE: TimeSpan = TimeSpan::from_millis(1_500);
+/// `Retry-After` of an answer given while there is no memory for the body of a request. Stalled
+/// requests make room within it.
+const BODY_RETRY_AFTER: TimeSpan = TimeSpan::from_millis(1_000);
+/// Copies of a job that exist while it is stored: the body, the decoded job, its row and the call to
+/// the store.
+const JOB_COPIES: usize = 4;
 /// Delay after a failed `accept` call.
 const ACCEPT_RETRY_DELAY: time::Duration = time::Duration::from_millis(20);
 
@@ -64,13 +67,9 @@
         tokio::select! {
             accepted = listener.accept() => match accepted {
                 Ok((stream, _)) => {
-                    let node = node.clone();
-                    let drain = drain.clone();
-                    drain.connection_opened();
-                    task::spawn_local(async move {
-                        serve_connection(&node, stream, &drain).await;
-                        drain.connection_closed();
-                    });
+                    if let Some(connection) = node.callers.admit().await {
+                        spawn_connection(&node, stream, connection, &drain);
+                    }
                 }
                 Err(error) => {
                     slog::warn!(node.log, "accept_failed"; "error" => %error);
@@ -119,24 +118,29 @@
     }
 }
 
-async fn serve_connection(node: &rc::Rc<EntryNode>, stream: TcpStream, drain: &ConnectionDrain) {
-    // Nagle's algorithm would delay small responses.
-    let _nodelay = stream.set_nodelay(true);
-    let handler = service::service_fn(|request| {
-        let node = node.clone();
-        async move { Ok::<_, convert::Infallible>(handle(&node, request).await) }
+fn spawn_connection(
+    node: &rc::Rc<EntryNode>,
+    stream: TcpStream,
+    connection: sync::Arc<ConnectionHandle>,
+    drain: &rc::Rc<ConnectionDrain>,
+) {
+    let (node, drain) = (node.clone(), drain.clone());
+    drain.connection_opened();
+    task::spawn_local(async move {
+        let answer = |request, connection: sync::Arc<ConnectionHandle>| {
+            let node = node.clone();
+            async move { handle(&node, &connection, request).await }
+        };
+        connection.serve(stream, answer, drain.until_begun()).await;
+        drain.connection_closed();
     });
-    let connection =
-        caller_server::connection_builder().serve_connection(TokioIo::new(stream), handler);
-    tokio::pin!(connection);
-    tokio::select! {
-        _ended = connection.as_mut() => return,
-        () = drain.until_begun() => connection.as_mut().graceful_shutdown(),
-    }
-    let _ended = connection.await;
 }
 
-async fn handle(node: &EntryNode, request: Request<Incoming>) -> Response<Full<Bytes>> {
+async fn handle(
+    node: &EntryNode,
+    connection: &ConnectionHandle,
+    request: Request<Incoming>,
+) -> Response<Full<Bytes>> {
     let received_at = node.now();
     let (head, body) = request.into_parts();
     let rules = node.current_rules();
@@ -153,10 +157,15 @@
         Ok((_, CallerRequest::Cancel(id))) => cancel(node, id).await,
         Ok((queue, CallerRequest::Pending)) => pending(node, &queue.name).await,
         Ok((queue, CallerRequest::Submit(id))) => {
-            let limited = Limited::new(body, rules.max_body_bytes);
-            match limited.collect().await {
-                Ok(collected) => submit(node, queue, id, &collected.to_bytes(), received_at).await,
-                Err(_too_long) => CallerAnswer::TooLong,
+            let body = connection.read_body(body, rules.max_body_bytes, JOB_COPIES);
+            match body.await {
+                Ok(body) => submit(node, queue, id, &body, received_at).await,
+                Err(BodyFault::NoMemory) => {
+                    report_unavailable(node, Some(id), "body_memory");
+                    CallerAnswer::Unavailable(BODY_RETRY_AFTER)
+                }
+                // The answer to a broken connection reaches nobody.
+                Err(BodyFault::TooLong | BodyFault::Broken) => CallerAnswer::TooLong,
             }
         }
     };
--- a/sapphirewalk/src/entry/mod.rs
+++ b/sapphirewalk/src/entry/mod.rs
@@ -17,25 +17,25 @@
 mod rules;
 mod settings;
 
-use std::convert;
 use std::env;
 use std::fmt::Write;
+use std::future;
 use std::path;
 use std::process;
 use std::rc;
+use std::sync;
 use std::time;
 
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Response;
 use hyper::StatusCode;
-use hyper::service;
-use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
 use tokio::signal::unix;
 use tokio::task;
 
-use crate::caller_server;
+use crate::caller_server::CallerServer;
+use crate::caller_server::ServerLimits;
 use crate::cli;
 use crate::cli::EntryOptions;
 use crate::entry::callers::ConnectionDrain;
@@ -121,8 +121,18 @@
     task::spawn_local(flush(buffer.clone()));
     task::spawn_local(rules::follow(node.clone()));
     task::spawn_local(peer::serve(node.clone(), peers));
-    task::spawn_local(serve_text(node.clone(), ready, ready_response));
-    task::spawn_local(serve_text(node.clone(), metrics, metrics_response));
+    task::spawn_local(serve_text(
+        node.clone(),
+        text_server(&node, "ready"),
+        ready,
+        ready_response,
+    ));
+    task::spawn_local(serve_text(
+        node.clone(),
+        text_server(&node, "metrics"),
+        metrics,
+        metrics_response,
+    ));
     task::spawn_local(callers::serve(node.clone(), callers, drain.clone()));
     let leader = task::spawn_local(election::run(node.clone()));
     loop {
@@ -175,6 +185,12 @@
     }
 }
 
+/// A server of this process that only answers with short texts.
+fn text_server(node: &EntryNode, name: &'static str) -> sync::Arc<CallerServer> {
+    let limits = ServerLimits::for_texts(node.resources);
+    CallerServer::new(name, limits, node.clock, node.log.clone())
+}
+
 fn ready_response(node: &EntryNode) -> (StatusCode, String) {
     if node.is_ready() {
         (StatusCode::OK, String::new())
@@ -187,6 +203,7 @@
     node.update_evacuation_metrics();
     node.update_rules_metric();
     let mut text = node.metrics.render();
+    node.callers.render_metrics(&mut text);
     if let Some(leader) = node.own_leadership() {
         for (reason, count) in leader.coordinator.borrow().waiting_tasks() {
             let reason = reason.as_str();
@@ -206,6 +223,7 @@
 /// Serves the same text for every request on a listener.
 async fn serve_text(
     node: rc::Rc<EntryNode>,
+    server: sync::Arc<CallerServer>,
     listener: TcpListener,
     respond: fn(&EntryNode) -> (StatusCode, String),
 ) {
@@ -214,18 +232,18 @@
             tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
             continue;
         };
+        let Some(connection) = server.admit().await else {
+            continue;
+        };
         let node = node.clone();
         task::spawn_local(async move {
-            let handler = service::service_fn(|_request| {
+            let answer = |_request, _connection| {
                 let (status, text) = respond(&node);
                 let mut response = Response::new(Full::new(Bytes::from(text)));
                 *response.status_mut() = status;
-                async move { Ok::<_, convert::Infallible>(response) }
-            });
-            // Clients may close the connection at any time.
-            let _ended = caller_server::connection_builder()
-                .serve_connection(TokioIo::new(stream), handler)
-                .await;
+                future::ready(response)
+            };
+            connection.serve(stream, answer, future::pending()).await;
         });
     }
 }
--- a/sapphirewalk/src/entry/node.rs
+++ b/sapphirewalk/src/entry/node.rs
@@ -3,6 +3,7 @@
 use std::cell;
 use std::collections;
 use std::rc;
+use std::sync;
 
 use sapphirewalk_core::coordinator::Event;
 use sapphirewalk_core::coordinator::JobCoordinator;
@@ -15,6 +16,9 @@
 use tokio::sync::Notify;
 use tokio::sync::mpsc;
 
+use crate::caller_server::CallerServer;
+use crate::caller_server::ProcessResources;
+use crate::caller_server::ServerLimits;
 use crate::clock::ProcessClock;
 use crate::entry::evacuation::EvacuationTracker;
 use crate::entry::metric::EntryMetrics;
@@ -51,6 +55,10 @@
     pub log: slog::Logger,
     /// Counters and histograms that the metrics address serves.
     pub metrics: EntryMetrics,
+    /// What this process may use.
+    pub resources: ProcessResources,
+    /// Connections of callers.
+    pub callers: sync::Arc<CallerServer>,
     /// Client of the platform's store.
     pub store: StoreClient,
     /// The rules in force. Version 0 means that none have been read yet.
@@ -97,7 +105,11 @@
     /// State of a process that has just started: no rules, no leadership and no connection.
     pub fn new(settings: EntrySettings, log: slog::Logger) -> Self {
         let clock = ProcessClock::start();
+        let resources = ProcessResources::of_process(settings.limits);
+        let limits = ServerLimits::for_requests(resources);
         Self {
+            resources,
+            callers: CallerServer::new("callers", limits, clock, log.clone()),
             incarnation: rand::random(),
             store: StoreClient::new(settings.store_address),
             settings,
--- a/sapphirewalk/src/entry/settings.rs
+++ b/sapphirewalk/src/entry/settings.rs
@@ -10,6 +10,8 @@
 use sapphirewalk_core::time::TimeSpan;
 use serde::Deserialize;
 
+use crate::caller_server::ResourceSettings;
+
 /// The settings file of an entry VM process, in JSON. Unknown fields are rejected.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -43,6 +45,9 @@
     pub reservations: bool,
     /// Limits stated by the platform.
     pub bounds: EntryBounds,
+    /// What the process may use; the smallest kind of VM if absent.
+    #[serde(default)]
+    pub limits: ResourceSettings,
 }
 
 const fn default_lookahead() -> bool {
@@ -125,6 +130,9 @@
                 "is not above 0; set the share in cores",
             ));
         }
+        if let Some((field, remedy)) = self.limits.find_fault() {
+            return Err(SettingsFault::OutOfRange(field, remedy));
+        }
         if self.bounds.longest_lease_ms < 1_000 {
             return Err(SettingsFault::OutOfRange(
                 "bounds.longest_lease_ms",
--- a/sapphirewalk/src/gateway/outcome.rs
+++ b/sapphirewalk/src/gateway/outcome.rs
@@ -43,6 +43,8 @@
     PlatformDown,
     /// The gateway is shutting down and takes no more requests from peers.
     ShuttingDown,
+    /// There is no memory for the body at present.
+    NoMemory,
     /// The caller disconnected while the request was queued.
     CallerGone,
 }
@@ -129,6 +131,7 @@
             Self::NoEndpoint => "no-endpoint",
             Self::PlatformDown => "platform-down",
             Self::ShuttingDown => "shutting-down",
+            Self::NoMemory => "no-memory",
             Self::CallerGone => "caller-gone",
         }
     }
@@ -137,9 +140,11 @@
         match self {
             Self::Fault(fault) => fault.remedy(),
             Self::NoBundle => "roll out a bundle",
-            Self::NoCapacity | Self::QueueFull | Self::NoEndpoint | Self::CallerGone => {
-                "repeat later"
-            }
+            Self::NoCapacity
+            | Self::QueueFull
+            | Self::NoEndpoint
+            | Self::NoMemory
+            | Self::CallerGone => "repeat later",
             Self::DeadlineTooShort => "repeat later, or allow more time",
             Self::PlatformDown => "repeat with the same key when the platform is up",
             Self::ShuttingDown => "repeat at once through the balancer",
@@ -202,6 +207,17 @@
         }
     }
 
+    /// Whether the body of the request was not read to its end.
+    pub const fn leaves_body_unread(&self) -> bool {
+        matches!(
+            self,
+            Self::NotRun(
+                NotRunReason::NoMemory
+                    | NotRunReason::Fault(RequestFault::BodyTooLarge | RequestFault::BodyBroken)
+            )
+        )
+    }
+
     /// Advice to the caller, sent as the body of the response; empty if an endpoint answered.
     pub const fn remedy(&self) -> &'static str {
         match self {
--- a/sapphirewalk/src/gateway/server.rs
+++ b/sapphirewalk/src/gateway/server.rs
@@ -1,23 +1,16 @@
 //! Accepts connections from callers and answers their requests.
 
-use std::convert::Infallible;
 use std::pin;
 use std::sync::Arc;
 use std::time;
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
 use hyper::header;
 use hyper::header::HeaderValue;
-use hyper::service;
-use hyper_util::rt::TokioIo;
-use hyper_util::rt::TokioTimer;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
@@ -25,7 +18,8 @@
 use sapphirewalk_core::admission::RequestOrigin;
 use sapphirewalk_wire::endpoint;
 
-use crate::caller_server;
+use crate::caller_server::BodyFault;
+use crate::caller_server::ConnectionHandle;
 use crate::gateway::attempt;
 use crate::gateway::outcome::NotRunReason;
 use crate::gateway::outcome::RequestFault;
@@ -36,6 +30,9 @@
 
 /// `Retry-After` value of answers to requests that did not run, in seconds.
 const RETRY_AFTER_SECONDS: &str = "1";
+/// Copies of a body that exist while its request runs: the body itself and that in the call to a
+/// peer.
+const REQUEST_COPIES: usize = 2;
 /// Time for which connections in the listen backlog are still accepted.
 const BACKLOG_TIMEOUT: time::Duration = time::Duration::from_millis(50);
 
@@ -45,7 +42,7 @@
     loop {
         tokio::select! {
             accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => spawn_connection(&gateway, stream),
+                Ok((stream, _)) => spawn_connection(&gateway, stream).await,
                 // For example, no file descriptor is free: lets other tasks close some.
                 Err(_) => tokio::task::yield_now().await,
             },
@@ -54,56 +51,54 @@
     }
     let backlog = async {
         while let Ok((stream, _)) = listener.accept().await {
-            spawn_connection(&gateway, stream);
+            spawn_connection(&gateway, stream).await;
         }
     };
     let _ = tokio::time::timeout(BACKLOG_TIMEOUT, backlog).await;
 }
 
-fn spawn_connection(gateway: &Arc<Gateway>, stream: TcpStream) {
-    // Nagle's algorithm would delay small answers until the caller's delayed acknowledgement.
-    let _ = stream.set_nodelay(true);
-    tokio::spawn(serve_connection(Arc::clone(gateway), stream));
+async fn spawn_connection(gateway: &Arc<Gateway>, stream: TcpStream) {
+    if let Some(connection) = gateway.process.callers.admit().await {
+        tokio::spawn(serve_connection(Arc::clone(gateway), stream, connection));
+    }
 }
 
-async fn serve_connection(gateway: Arc<Gateway>, stream: TcpStream) {
+async fn serve_connection(
+    gateway: Arc<Gateway>,
+    stream: TcpStream,
+    connection: Arc<ConnectionHandle>,
+) {
     let Some(_in_flight) = gateway.drain.enter() else {
         return;
     };
-    let serve = service::service_fn(|request| answer(Arc::clone(&gateway), request));
-    let connection = caller_server::connection_builder()
-        .timer(TokioTimer::new())
-        .serve_connection(TokioIo::new(stream), serve);
-    let mut connection = pin::pin!(connection);
-    tokio::select! {
-        // An error means that the caller's connection broke.
-        _ = connection.as_mut() => return,
-        () = gateway.drain.wait_closed() => {}
-    }
-    connection.as_mut().graceful_shutdown();
-    let _ = connection.await;
+    let serve = |request, connection| answer(Arc::clone(&gateway), connection, request);
+    connection
+        .serve(stream, serve, gateway.drain.wait_closed())
+        .await;
 }
 
 async fn answer(
     gateway: Arc<Gateway>,
+    connection: Arc<ConnectionHandle>,
     request: Request<Incoming>,
-) -> Result<Response<Full<Bytes>>, Infallible> {
+) -> Response<Full<Bytes>> {
     let (head, body) = split(gateway.next_token(), request);
     let id = head.id().to_owned();
     let is_draining = gateway.process.shutdown.has_begun();
     let (sender, receiver) = oneshot::channel();
     // Uses a task of its own: a request that was sent to an endpoint continues to its outcome even
     // if the caller disconnects.
-    tokio::spawn(run_request(gateway, head, body, sender));
+    tokio::spawn(run_request(gateway, connection, head, body, sender));
     let end = receiver
         .await
         .unwrap_or(RequestOutcome::NotRun(NotRunReason::CallerGone));
+    let closes = is_draining || end.leaves_body_unread();
     let mut response = build_response(end, &id);
-    if is_draining {
+    if closes {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
-    Ok(response)
+    response
 }
 
 fn split(token: String, request: Request<Incoming>) -> (RequestHead, Incoming) {
@@ -121,24 +116,33 @@
 
 async fn run_request(
     gateway: Arc<Gateway>,
+    connection: Arc<ConnectionHandle>,
     head: RequestHead,
     body: Incoming,
     mut answer: oneshot::Sender<RequestOutcome>,
 ) {
     let limit = gateway.process.settings.gateway.body_bytes_max;
-    let end = match read_body(body, limit).await {
-        Ok(body) => request_pipeline::run(&gateway, head, body, &mut answer).await,
-        Err(fault) => request_pipeline::refuse(&gateway, &head, NotRunReason::Fault(fault)),
+    let received = connection.read_body(body, limit, REQUEST_COPIES).await;
+    // The request may outlast the connection, whose place is free then.
+    drop(connection);
+    let end = match received {
+        Ok(received) => {
+            let (body, _reservation) = received.into_parts();
+            request_pipeline::run(&gateway, head, body.into(), &mut answer).await
+        }
+        Err(fault) => request_pipeline::refuse(&gateway, &head, fault.into()),
     };
     // An error means that the caller has disconnected.
     let _ = answer.send(end);
 }
 
-async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, RequestFault> {
-    match Limited::new(body, limit).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(RequestFault::BodyTooLarge),
-        Err(_) => Err(RequestFault::BodyBroken),
+impl From<BodyFault> for NotRunReason {
+    fn from(fault: BodyFault) -> Self {
+        match fault {
+            BodyFault::TooLong => Self::Fault(RequestFault::BodyTooLarge),
+            BodyFault::Broken => Self::Fault(RequestFault::BodyBroken),
+            BodyFault::NoMemory => Self::NoMemory,
+        }
     }
 }
 
--- a/sapphirewalk/src/process.rs
+++ b/sapphirewalk/src/process.rs
@@ -17,6 +17,9 @@
 
 use crate::admin;
 use crate::audit::AuditHandle;
+use crate::caller_server::CallerServer;
+use crate::caller_server::ProcessResources;
+use crate::caller_server::ServerLimits;
 use crate::clock::ProcessClock;
 use crate::config::Settings;
 use crate::event::EventName;
@@ -54,6 +57,8 @@
     pub process_token: String,
     /// Clock for all timestamps and leases of the process.
     pub clock: ProcessClock,
+    /// Connections of callers.
+    pub callers: Arc<CallerServer>,
     /// Logger whose lines carry the VM name, incarnation and role.
     pub logger: Logger,
     /// Statsd client; discards all metrics if the settings have no receiver.
@@ -140,7 +145,10 @@
             incarnation: settings.vm.incarnation,
             ..PeerStatus::default()
         };
+        let resources = ProcessResources::of_process(settings.limits);
+        let limits = ServerLimits::for_requests(resources);
         let process = Arc::new(Self {
+            callers: CallerServer::new("callers", limits, clock, logger.clone()),
             role,
             clock,
             metrics: metric::build(settings.metrics.statsd).map_err(StartError::System)?,
@@ -162,7 +170,10 @@
             logger,
             settings,
         });
-        admin::serve(&process)
+        let callers = Arc::clone(&process.callers);
+        let sections = &process.dump_sections;
+        sections.register("callers", move || callers.usage());
+        admin::serve(&process, ServerLimits::for_texts(resources))
             .await
             .map_err(|source| StartError::Bind {
                 setting: "listen.admin",
--- a/sapphirewalk/src/scheduler/api/answer.rs
+++ b/sapphirewalk/src/scheduler/api/answer.rs
@@ -12,6 +12,9 @@
 use sapphirewalk_wire::row::TaskRow;
 use sapphirewalk_wire::task::TaskAnswer;
 
+/// `Retry-After` value of an answer for lack of memory, in seconds.
+const RETRY_AFTER_SECONDS: &str = "1";
+
 /// The error with which a call is refused. It concerns this call only: an earlier call with the
 /// same key may have been accepted.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -53,6 +56,8 @@
     NoTask,
     /// The method and path match no call of the interface.
     NoPath,
+    /// There is no memory for the body at present.
+    NoMemory,
     /// The body exceeds the limit, or it could not be received.
     BodyTooLarge,
 }
@@ -71,9 +76,11 @@
             Self::Body { .. } | Self::Field { .. } => StatusCode::BAD_REQUEST,
             Self::KeyTaken { .. } => StatusCode::CONFLICT,
             Self::TeamFull { .. } => StatusCode::TOO_MANY_REQUESTS,
-            Self::QueueFull | Self::NotReady | Self::TableDown { .. } | Self::OutcomeUnknown => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::QueueFull
+            | Self::NotReady
+            | Self::NoMemory
+            | Self::TableDown { .. }
+            | Self::OutcomeUnknown => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoTask | Self::NoPath => StatusCode::NOT_FOUND,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
         }
@@ -116,6 +123,10 @@
             ),
             Self::NoTask => write!(formatter, "no such task; check the ID"),
             Self::NoPath => write!(formatter, "no such path; use /v1/tasks"),
+            Self::NoMemory => write!(
+                formatter,
+                "no memory for the body at present; submit again later"
+            ),
             Self::BodyTooLarge => write!(formatter, "body too large; shorten the payload"),
         }
     }
@@ -139,7 +150,17 @@
         error: error.to_string(),
         accepted: error.accepted(),
     };
-    json_answer(error.status(), &answer)
+    let mut response = json_answer(error.status(), &answer);
+    if matches!(error, ApiError::NoMemory | ApiError::BodyTooLarge) {
+        // The rest of the body stays unread, so the connection can't be reused.
+        let close = header::HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    if *error == ApiError::NoMemory {
+        let seconds = header::HeaderValue::from_static(RETRY_AFTER_SECONDS);
+        response.headers_mut().insert(header::RETRY_AFTER, seconds);
+    }
+    response
 }
 
 fn json_answer<A: Serialize>(status: StatusCode, answer: &A) -> Response<Full<Bytes>> {
--- a/sapphirewalk/src/scheduler/api/submit.rs
+++ b/sapphirewalk/src/scheduler/api/submit.rs
@@ -34,7 +34,7 @@
 /// If the submission is invalid or can't be accepted now.
 pub async fn submit(
     context: &SchedulerContext,
-    body: &Bytes,
+    body: &[u8],
 ) -> Result<Response<Full<Bytes>>, ApiError> {
     let process = &context.process;
     let rollout = process.rollout.current().filter(|_| process.is_ready());
--- a/sapphirewalk/tests/crowd/daemons.rs
+++ b/sapphirewalk/tests/crowd/daemons.rs
@@ -14,10 +14,12 @@
 use sapphirewalk_stand_in::worker::TaskPayload;
 use sapphirewalk_wire::endpoint;
 use sapphirewalk_wire::task;
+use serde_json::json;
 
 use crate::CONNECTION_CROWD;
 use crate::DESCRIPTOR_LIMIT;
 use crate::HEAD_CROWD;
+use crate::MEMORY_MB;
 use crate::TURN;
 use crate::assert_within_limits;
 use crate::client::ClientCrowd;
@@ -85,6 +87,7 @@
     plan.domains = 1;
     plan.entry_vms = 1;
     plan.workers = 1;
+    plan.limits = Some(json!({"memory_mb": MEMORY_MB, "descriptors": DESCRIPTOR_LIMIT}));
     plan.scheduler = Some(fleet::short_leases());
     let fleet = Fleet::start(plan.with_generated_bundle()).await;
     fleet.expect("the fleet starts")
--- a/sapphirewalk/tests/crowd/entry.rs
+++ b/sapphirewalk/tests/crowd/entry.rs
@@ -6,6 +6,7 @@
 use crate::CONNECTION_CROWD;
 use crate::DESCRIPTOR_LIMIT;
 use crate::HEAD_CROWD;
+use crate::MEMORY_MB;
 use crate::TURN;
 use crate::assert_within_limits;
 use crate::client::ClientCrowd;
@@ -77,9 +78,19 @@
         .await;
 }
 
+/// Starts an entry VM whose process may use little.
+async fn start_fleet() -> EntryFleet {
+    let mut fleet = EntryFleet::start("crowd", 1).await;
+    fleet.change_settings(0, |settings| {
+        settings["limits"] = json!({"memory_mb": MEMORY_MB, "descriptors": DESCRIPTOR_LIMIT});
+    });
+    fleet.restart_leader(0).await;
+    fleet
+}
+
 async fn withstand(port: EntryPort, kind: CrowdKind, clients: usize, body: Vec<u8>) {
     let _turn = TURN.lock().await;
-    let fleet = EntryFleet::start("crowd", 1).await;
+    let fleet = start_fleet().await;
     let child = fleet.entries[0].child.as_ref();
     let gauge = ProcessGauge::new(child.expect("the process is running").id());
     gauge.limit_descriptors(match kind {
@@ -205,7 +216,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_job_too_large_for_the_store_is_rejected_for_good() {
     let _turn = TURN.lock().await;
-    let fleet = EntryFleet::start("crowd", 1).await;
+    let fleet = start_fleet().await;
     let body = String::from_utf8(job_with_image(BODY_BYTES - 200)).expect("the job is text");
     let path = format!("/bulk/{ORDINARY_JOB:016x}");
     let (status, ..) = fleet.call(0, Method::POST, &path, body).await;
--- a/sapphirewalk/tests/crowd/main.rs
+++ b/sapphirewalk/tests/crowd/main.rs
@@ -19,6 +19,8 @@
 
 /// Memory of a VM in these tests, in bytes.
 const MEMORY_BOUND: usize = 64 << 20;
+/// Memory of a VM in these tests, in MiB.
+const MEMORY_MB: usize = MEMORY_BOUND >> 20;
 /// Limit of open descriptors of a process in these tests.
 const DESCRIPTOR_LIMIT: usize = 300;
 /// Most descriptors that may be open, so that a process can always connect to others.
--- a/sapphirewalk/tests/entry/fleet.rs
+++ b/sapphirewalk/tests/entry/fleet.rs
@@ -283,7 +283,8 @@
         log[last..].to_owned()
     }
 
-    fn change_settings(&self, number: usize, change: impl FnOnce(&mut Value)) {
+    /// Changes the settings file of an entry VM, which reads it at its next start.
+    pub fn change_settings(&self, number: usize, change: impl FnOnce(&mut Value)) {
         let path = &self.entries[number].settings;
         let text = fs::read_to_string(path).expect("the settings were written here");
         let mut settings: Value = serde_json::from_str(&text).expect("the settings are JSON");
--- a/sapphirewalk_stand_in/src/fleet/mod.rs
+++ b/sapphirewalk_stand_in/src/fleet/mod.rs
@@ -327,6 +327,7 @@
             log: LogSection {
                 level: self.plan.log_level.clone(),
             },
+            limits: self.plan.limits.clone(),
             scheduler: self.plan.scheduler.clone(),
         }
     }
--- a/sapphirewalk_stand_in/src/fleet/plan.rs
+++ b/sapphirewalk_stand_in/src/fleet/plan.rs
@@ -38,6 +38,8 @@
     pub report_lag_ms: u64,
     /// The JSON text of the bundle that is rolled out at the start; `None` for no rollout.
     pub bundle: Option<String>,
+    /// The `limits` section of the settings files; `None` for the defaults.
+    pub limits: Option<serde_json::Value>,
     /// The `scheduler` section of the settings files; `None` for the defaults.
     pub scheduler: Option<serde_json::Value>,
     /// How long the processes wait for an answer of the platform, in milliseconds.
@@ -69,6 +71,7 @@
             },
             report_lag_ms: 500,
             bundle: None,
+            limits: None,
             scheduler: None,
             platform_timeout_ms: PLATFORM_TIMEOUT_MS,
             relays: false,
--- a/sapphirewalk_stand_in/src/fleet/settings.rs
+++ b/sapphirewalk_stand_in/src/fleet/settings.rs
@@ -23,6 +23,8 @@
     pub metrics: Option<MetricsSection>,
     pub log: LogSection,
     #[serde(skip_serializing_if = "Option::is_none")]
+    pub limits: Option<serde_json::Value>,
+    #[serde(skip_serializing_if = "Option::is_none")]
     pub scheduler: Option<serde_json::Value>,
 }
 
