--- a/sapphirewalk/src/caller_server/limit.rs
+++ b/sapphirewalk/src/caller_server/limit.rs
@@ -9,6 +9,8 @@
 const MEBIBYTE: usize = 1 << 20;
 /// Length of a request's head where nothing else is configured, in bytes.
 const DEFAULT_HEAD_BYTES: usize = 16_384;
+/// Shortest and longest head that can be configured, in bytes.
+const HEAD_BYTES_RANGE: (usize, usize) = (8_192, 65_536);
 /// Time for a request's head where nothing else is configured.
 const DEFAULT_HEAD_TIMEOUT: TimeSpan = TimeSpan::from_millis(10_000);
 /// Time for a request's body, in addition to what it takes at [`MIN_BODY_RATE`].
@@ -129,6 +131,18 @@
         }
     }
 
+    /// The same limits with this length of a head, in bytes, and this time for it, or the defaults.
+    /// The length is brought into the range that the server supports.
+    pub fn with_head(self, head_bytes: Option<usize>, head_timeout: Option<TimeSpan>) -> Self {
+        let (shortest, longest) = HEAD_BYTES_RANGE;
+        let head_bytes = head_bytes.unwrap_or(DEFAULT_HEAD_BYTES);
+        Self {
+            head_bytes: head_bytes.clamp(shortest, longest),
+            head_timeout: head_timeout.unwrap_or(DEFAULT_HEAD_TIMEOUT),
+            ..self
+        }
+    }
+
     /// Limits of the connections and bodies of the server.
     pub const fn budget(&self) -> BudgetLimits {
         // One half of the callers' memory is for connections, the other one for bodies.
--- a/sapphirewalk/src/caller_server/mod.rs
+++ b/sapphirewalk/src/caller_server/mod.rs
@@ -20,6 +20,7 @@
 use sapphirewalk_core::connection_budget::ConnectionBudget;
 use sapphirewalk_core::connection_budget::ConnectionKey;
 use sapphirewalk_core::connection_budget::OpenStep;
+use sapphirewalk_core::time::TimeSpan;
 use serde::Serialize;
 use tokio::sync::Notify;
 
@@ -102,6 +103,17 @@
         }
     }
 
+    /// Sets the length of a request's head, in bytes, and the time for it. The length applies to new
+    /// connections. Without values, the defaults apply.
+    pub fn set_head_limits(&self, head_bytes: Option<usize>, head_timeout: Option<TimeSpan>) {
+        let mut state = self.lock();
+        let limits = state.limits.with_head(head_bytes, head_timeout);
+        if state.limits != limits {
+            state.limits = limits;
+            state.budget.set_limits(limits.budget());
+        }
+    }
+
     /// Number of open connections.
     pub fn open_connections(&self) -> usize {
         self.lock().budget.open_connections()
--- a/sapphirewalk/src/entry/callers.rs
+++ b/sapphirewalk/src/entry/callers.rs
@@ -67,7 +67,10 @@
         tokio::select! {
             accepted = listener.accept() => match accepted {
                 Ok((stream, _)) => {
-                    if let Some(connection) = node.callers.admit().await {
+                    let rules = node.current_rules();
+                    let callers = &node.callers;
+                    callers.set_head_limits(rules.max_head_bytes, rules.head_timeout);
+                    if let Some(connection) = callers.admit().await {
                         spawn_connection(&node, stream, connection, &drain);
                     }
                 }
--- a/sapphirewalk_core/src/work_rule.rs
+++ b/sapphirewalk_core/src/work_rule.rs
@@ -13,6 +13,10 @@
     pub pools: Vec<PoolRule>,
     /// Longest accepted request body in bytes.
     pub max_body_bytes: usize,
+    /// Longest accepted head of a request in bytes; none for the default of the process.
+    pub max_head_bytes: Option<usize>,
+    /// Time for the head of a request; none for the default of the process.
+    pub head_timeout: Option<TimeSpan>,
 }
 
 /// Settings of a queue, through which callers submit jobs.
--- a/sapphirewalk_core/tests/coordinator/simulation.rs
+++ b/sapphirewalk_core/tests/coordinator/simulation.rs
@@ -2106,6 +2106,8 @@
             standby: false,
         }],
         max_body_bytes: 262_144,
+        max_head_bytes: None,
+        head_timeout: None,
     }
 }
 
