Reject jobs that no row of the store can hold

Callers got 504 for a job larger than a row: the store refused its write, twice, and they came back with it. 504 says that it may have run.

Cause: the length of the encoded job wasn't compared with the store's limit before the write.

Change: a job whose row is longer than bounds.row_bytes, which the platform states, gets 413 before anything is written.

--- a/sapphirewalk/src/entry/callers.rs
+++ b/sapphirewalk/src/entry/callers.rs
@@ -225,6 +225,13 @@
         accepted_at: received_at,
         terms: Some(queue.into()),
     };
+    let change = records::accept_change(&record);
+    let row_bytes = change.written.iter().map(|(_, value)| value.len()).max();
+    if row_bytes > Some(node.settings.bounds.longest_row()) {
+        slog::info!(node.log, "job_invalid job={}", id; "queue" => &record.queue,
+            "fault" => "the job does not fit a row of the store", "row_bytes" => row_bytes);
+        return CallerAnswer::TooLong;
+    }
     if !node.store_is_reachable() {
         return unavailable(node, Some(id), "store_lost");
     }
@@ -244,7 +251,6 @@
             Err(_) => return unavailable(node, Some(id), "store_refuses"),
         }
     }
-    let change = records::accept_change(&record);
     let mut outcome_unknown = false;
     loop {
         let outcome = node.store.change(&change, WRITE_TIMEOUT).await;
--- a/sapphirewalk/src/entry/settings.rs
+++ b/sapphirewalk/src/entry/settings.rs
@@ -77,6 +77,10 @@
     /// [`DEFAULT_UNAVAILABILITY_NOTICE_MS`].
     #[serde(default)]
     pub unavailability_notice_ms: Option<u64>,
+    /// Longest value of a row of the store, in bytes, at least 1024. Absent or null for deployments
+    /// that state none: [`DEFAULT_ROW_BYTES`].
+    #[serde(default)]
+    pub row_bytes: Option<usize>,
     /// Time from the stop signal until the platform kills the process, in seconds, at least 1.
     pub stop_grace_s: f64,
 }
@@ -85,6 +89,9 @@
 /// do.
 const DEFAULT_UNAVAILABILITY_NOTICE_MS: u64 = 5_500;
 
+/// Longest value of a row of deployments that state none, in bytes.
+const DEFAULT_ROW_BYTES: usize = 65_536;
+
 /// Bound on changes of the rules of deployments that state none, in ms.
 const DEFAULT_RULES_BOUND_MS: u64 = 2_000;
 
@@ -164,6 +171,12 @@
                  stopped as available",
             ));
         }
+        if self.bounds.longest_row() < 1_024 {
+            return Err(SettingsFault::OutOfRange(
+                "bounds.row_bytes",
+                "is below 1024; raise it, since smaller rows can't hold a job",
+            ));
+        }
         if self.bounds.stop_grace_s < 1.0 {
             return Err(SettingsFault::OutOfRange(
                 "bounds.stop_grace_s",
@@ -197,6 +210,11 @@
         TimeSpan::from_millis(self.rules_ms.unwrap_or(DEFAULT_RULES_BOUND_MS))
     }
 
+    /// Longest value of a row of the store, in bytes.
+    pub fn longest_row(&self) -> usize {
+        self.row_bytes.unwrap_or(DEFAULT_ROW_BYTES)
+    }
+
     fn unavailability_notice(&self) -> TimeSpan {
         let notice_ms = self.unavailability_notice_ms;
         TimeSpan::from_millis(notice_ms.unwrap_or(DEFAULT_UNAVAILABILITY_NOTICE_MS))
