--- a/sapphirewalk/tests/crowd/entry.rs
+++ b/sapphirewalk/tests/crowd/entry.rs
@@ -27,6 +27,8 @@
 const LARGE_JOB_CROWD: usize = 200;
 /// Clients of a crowd that submits jobs that fit a row of the store.
 const JOB_CROWD: usize = 400;
+/// Jobs that are submitted one after the other.
+const ACCUMULATED_JOBS: u64 = 1_200;
 /// Length of an image name with which a job fits a row of the store.
 const IMAGE_BYTES: usize = 60_000;
 /// Identifier of the first ordinary job, above those of all crowds.
@@ -211,6 +213,28 @@
     withstand(EntryPort::Callers, kind, JOB_CROWD, body).await;
 }
 
+/// Jobs that are accepted one after the other, each as large as the store takes.
+#[tokio::test(flavor = "multi_thread")]
+async fn accepted_jobs_that_accumulate() {
+    let _turn = TURN.lock().await;
+    let fleet = start_fleet().await;
+    let child = fleet.entries[0].child.as_ref();
+    let gauge = ProcessGauge::new(child.expect("the process is running").id());
+    let body = String::from_utf8(job_with_image(IMAGE_BYTES)).expect("the job is text");
+    for number in 0..ACCUMULATED_JOBS {
+        let path = format!("/bulk/{number:016x}");
+        let (status, _, after) = fleet.call(0, Method::POST, &path, body.clone()).await;
+        assert!(
+            status == 200 || (matches!(status, 429 | 503) && after.is_some()),
+            "{status}"
+        );
+    }
+    gauge.settle().await;
+    assert_within_limits(gauge);
+    serve_ordinary_requests(&fleet, ORDINARY_JOB).await;
+    assert_within_limits(gauge);
+}
+
 /// A job that no row of the store can hold is rejected for good: callers repeat a request that was
 /// answered with 504.
 #[tokio::test(flavor = "multi_thread")]
--- a/sapphirewalk/tests/entry/store.rs
+++ b/sapphirewalk/tests/entry/store.rs
@@ -143,6 +143,41 @@
     }
 }
 
+/// Time from a worker's notice until nothing new starts there, `drain_ms` of the platform.
+const DRAIN_BOUND: time::Duration = time::Duration::from_millis(2_000);
+
+/// Guards against a leader that goes on with an old list of workers, and old rules, because its
+/// connections to the store don't answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaving_worker_gets_nothing_new_after_the_connections_to_the_store_went_silent() {
+    let fleet = EntryFleet::start("unanswered", 2).await;
+    for number in 0..24 {
+        assert_eq!(fleet.submit(0, 800 + number, 50, &[1]).await, 200);
+    }
+    for port in &fleet.ports {
+        port.silence_open_connections();
+    }
+    let silent_at = time::Instant::now();
+    tokio::time::sleep(CONTACT_SPAN + time::Duration::from_millis(500)).await;
+    let queues = [("bulk", 2), ("late", 1), ("urgent", 0)];
+    fleet.store.put_rules(2, &queues);
+    fleet.workers[0].register_in(&fleet.store, "draining", "domain");
+    tokio::time::sleep(DRAIN_BOUND.max(RULES_BOUND)).await;
+    let before = fleet.workers[0].started_runs().len();
+    for number in 0..24 {
+        let entry = number as usize % 2;
+        assert_eq!(fleet.submit(entry, 900 + number, 50, &[1]).await, 200);
+        let (status, ..) = fleet
+            .call(entry, Method::GET, "/late/", String::new())
+            .await;
+        assert_eq!(status, 200, "entry VM {entry}, {:?}", silent_at.elapsed());
+    }
+    for number in 0..24 {
+        fleet.until_state(1, 900 + number, "completed").await;
+    }
+    assert_eq!(fleet.workers[0].started_runs().len(), before);
+}
+
 /// The value of a metric of an entry VM.
 async fn metric(fleet: &EntryFleet, number: usize, name: &str) -> u64 {
     let text = fleet.metrics(number).await;
