--- a/sapphirewalk/src/caller_server/body.rs
+++ b/sapphirewalk/src/caller_server/body.rs
@@ -32,7 +32,7 @@
 #[derive(Debug)]
 pub struct ReceivedBody {
     bytes: Vec<u8>,
-    _reservation: BodyReservation,
+    reservation: BodyReservation,
 }
 
 /// Memory reserved in the budget of a server, released when dropped.
@@ -60,7 +60,7 @@
 impl ReceivedBody {
     /// Separates the bytes from their reservation, which the second value holds until dropped.
     pub fn into_parts(self) -> (Vec<u8>, impl Send + Sync + 'static) {
-        (self.bytes, self._reservation)
+        (self.bytes, self.reservation)
     }
 }
 
@@ -84,7 +84,7 @@
         }
         let mut received = ReceivedBody {
             bytes: Vec::new(),
-            _reservation: BodyReservation {
+            reservation: BodyReservation {
                 server: self.server().clone(),
                 key: self.key(),
                 bytes: 0,
@@ -118,7 +118,7 @@
         capacity: usize,
         copies: usize,
     ) -> Result<(), BodyFault> {
-        let reservation = &mut received._reservation;
+        let reservation = &mut received.reservation;
         let more = capacity * copies - reservation.bytes;
         self.reserve(more).await?;
         reservation.bytes += more;
--- a/sapphirewalk/src/caller_server/mod.rs
+++ b/sapphirewalk/src/caller_server/mod.rs
@@ -32,6 +32,7 @@
 use crate::caller_server::report::RefusalReason;
 use crate::caller_server::report::RefusalReport;
 use crate::clock::ProcessClock;
+use crate::event::EventName;
 
 /// The connections of callers to one address.
 pub struct CallerServer {
@@ -208,7 +209,7 @@
         let now = self.clock.now();
         let count = self.lock().report.record(reason, now);
         if let Some(count) = count {
-            slog::warn!(self.log, "callers_refused"; "server" => self.name,
+            slog::warn!(self.log, "{}", EventName::CallersRefused; "server" => self.name,
                 "reason" => reason.as_str(), "count" => count);
         }
     }
--- a/sapphirewalk/src/event.rs
+++ b/sapphirewalk/src/event.rs
@@ -28,6 +28,8 @@
     ShutdownBegun => "shutdown_begun",
     /// The daemon has finished its graceful shutdown.
     ProcessStopped => "process_stopped",
+    /// Connections of callers were closed or requests refused to stay within the limits.
+    CallersRefused => "callers_refused",
     /// A call to the platform failed.
     PlatformFailed => "platform_failed",
     /// An incoming connection of a peer could not be established.
