Log the age of the answers that a lost run was judged by

A line of run_lost showed neither when the worker had last confirmed the run nor when the poll was sent whose list it was missing from, so a run that is lost because its worker doesn't list it couldn't be told from one that an outdated list leaves out.

Change: run_lost has confirmed_ago and polled_ago. No decision uses either yet.

--- a/sapphirewalk_core/src/coordinator/commands.rs
+++ b/sapphirewalk_core/src/coordinator/commands.rs
@@ -76,7 +76,7 @@
                 task.phase = TaskPhase::Running;
                 task.phase_since = now;
                 task.progress = RunProgress::begin(clock_ms, 0);
-                task.confirm_run(clock_ms);
+                task.confirm_run(clock_ms, now);
                 task.worker_born_ms = born_ms;
                 if restarted {
                     self.mark_dirty(slot.job);
@@ -165,6 +165,7 @@
                 {
                     task.start_unconfirmed = false;
                     task.confirmed_ms = task.confirmed_ms.max(clock_ms);
+                    task.confirmed_at = now;
                     if task.phase == TaskPhase::Starting {
                         task.phase = TaskPhase::Running;
                     }
--- a/sapphirewalk_core/src/coordinator/crash.rs
+++ b/sapphirewalk_core/src/coordinator/crash.rs
@@ -119,15 +119,20 @@
             task.crash_history.record_crash(report)
         };
         task.record_loss(now);
+        let confirmed_ago = (task.confirmed_at > TimePoint::EPOCH)
+            .then(|| now.since(task.confirmed_at))
+            .map_or_else(|| "never".to_owned(), |age| age.to_string());
+        let entry = self.workers.get(worker);
         let survived = report
             .survived
             .map_or_else(|| "unknown".to_owned(), |span| span.to_string());
         let detail = format!(
-            "run={run} worker={} was={:?} cause={} survived={survived} new_beside={} common={} \
-             proven={} settled={} crashes={} blamed={}",
-            self.workers.get(worker).listing.id,
+            "run={run} worker={} was={:?} cause={} confirmed_ago={confirmed_ago} polled_ago={} \
+             survived={survived} new_beside={} common={} proven={} settled={} crashes={} blamed={}",
+            entry.listing.id,
             task.phase,
             cause.as_str(),
+            now.since(entry.polled_at),
             report.new_beside,
             report.common,
             report.proven,
--- a/sapphirewalk_core/src/coordinator/place.rs
+++ b/sapphirewalk_core/src/coordinator/place.rs
@@ -704,6 +704,7 @@
         task.phase_since = now;
         task.begun_ms = 0;
         task.confirmed_ms = 0;
+        task.confirmed_at = TimePoint::EPOCH;
         task.start_unconfirmed = false;
         task.start_unanswered = false;
         task.deadline_ms = 0;
--- a/sapphirewalk_core/src/coordinator/poll.rs
+++ b/sapphirewalk_core/src/coordinator/poll.rs
@@ -72,6 +72,7 @@
             let timing = self.poll_timing(slot, now);
             let entry = self.workers.get_mut(slot);
             entry.polling = true;
+            entry.polled_at = now;
             entry.lease_end_ms = entry.lease_end_ms.max(deadline_ms);
             // After a restart the worker numbers its ends anew and would discard ends that it has
             // not listed.
@@ -565,7 +566,7 @@
                 task.progress.report(clock_ms, listed.percent);
             }
             task.record_work(now);
-            task.confirm_run(clock_ms);
+            task.confirm_run(clock_ms, now);
             let cleared = task.record_alive();
             if !listed.checkpoint.is_empty() && task.checkpoint != listed.checkpoint {
                 task.checkpoint.clone_from(&listed.checkpoint);
--- a/sapphirewalk_core/src/job_registry.rs
+++ b/sapphirewalk_core/src/job_registry.rs
@@ -146,6 +146,9 @@
     pub begun_ms: u64,
     /// Worker clock in ms of the last answer that confirmed the run; 0 before the first.
     pub confirmed_ms: u64,
+    /// When the last answer arrived that confirmed the run or a stop of it; the epoch before the
+    /// first.
+    pub confirmed_at: TimePoint,
     /// Earliest time of the next run.
     pub not_before: TimePoint,
     /// End of the last run that a worker may have had; none before it. A start that is withheld or
@@ -345,8 +348,9 @@
     }
 
     /// Records an answer of the worker that confirms the present run, by the worker's clock in ms.
-    pub fn confirm_run(&mut self, clock_ms: u64) {
+    pub fn confirm_run(&mut self, clock_ms: u64, now: TimePoint) {
         self.start_unconfirmed = false;
+        self.confirmed_at = now;
         if self.begun_ms == 0 {
             self.begun_ms = clock_ms.max(1);
         }
--- a/sapphirewalk_core/src/worker_registry.rs
+++ b/sapphirewalk_core/src/worker_registry.rs
@@ -150,6 +150,8 @@
     pub unwritten_ends: Vec<UnwrittenEnd>,
     /// A poll is in flight.
     pub polling: bool,
+    /// When the last poll was sent.
+    pub polled_at: TimePoint,
     /// Earliest time of the next poll.
     pub next_poll: TimePoint,
     /// When the worker last answered a poll.
@@ -247,6 +249,7 @@
             acked_end: 0,
             unwritten_ends: Vec::new(),
             polling: false,
+            polled_at: TimePoint::EPOCH,
             next_poll: TimePoint::EPOCH,
             answered_at: TimePoint::EPOCH,
             failed_polls: 0,
