Judge a run lost only by lists that were requested after it was confirmed

Callers had two runs of one task at once: the first was alive on its worker when the task was placed again, and was found and stopped afterwards.

Cause: a run that its worker doesn't list counts as lost. Whether a list may show the run was judged by the worker's clock, read with the list and with the answer to the start. The readings don't order the two: a worker may read its clock after it has listed its runs, and the clock of its next incarnation starts anew. The first list of a restarted worker wasn't compared with the start at all, although the restarted worker may accept a start after it. The class: a missing entry is taken as proof without knowing that the list is younger than what it is to disprove.

Change: only a list whose poll was sent after the last answer that confirmed the run, or a stop of it, proves that the run is over. Both times are taken by the leader.

--- a/sapphirewalk/tests/entry/main.rs
+++ b/sapphirewalk/tests/entry/main.rs
@@ -13,5 +13,6 @@
 mod odd_entries;
 #[path = "../../../platform/tests/odd/generator.rs"]
 mod odd_generator;
+mod outdated_lists;
 mod retention;
 mod store;
--- a/sapphirewalk_core/src/coordinator/commands.rs
+++ b/sapphirewalk_core/src/coordinator/commands.rs
@@ -92,6 +92,7 @@
                 // counts as lost.
                 task.phase = TaskPhase::Running;
                 task.start_unconfirmed = false;
+                task.confirmed_at = now;
                 return;
             }
             OrderAnswer::Missing => {
--- a/sapphirewalk_core/src/coordinator/poll.rs
+++ b/sapphirewalk_core/src/coordinator/poll.rs
@@ -245,7 +245,7 @@
     }
 
     /// Handles a new incarnation of a worker: runs that it does not list have ended with the old
-    /// one.
+    /// one, unless they were confirmed since the list was requested.
     fn on_new_incarnation(
         &mut self,
         worker: WorkerSlot,
@@ -261,6 +261,7 @@
             entry.tasks.len()
         );
         self.log("worker_reborn", None, detail);
+        let polled_at = self.workers.get(worker).polled_at;
         let (mut revoked, mut lost) = (Vec::new(), Vec::new());
         for slot in self.workers.get(worker).tasks.clone() {
             if self
@@ -282,6 +283,9 @@
                 TaskPhase::Starting | TaskPhase::Running if task.start_unanswered => {
                     revoked.push(slot);
                 }
+                // The new incarnation may have accepted the start after it had listed its runs. Its
+                // next list shows it.
+                TaskPhase::Running if !task.is_confirmed_before(polled_at) => {}
                 _ => lost.push(slot),
             }
         }
@@ -587,6 +591,7 @@
         }
         self.end_trial(worker);
         self.workers.get_mut(worker).gauges = gauges;
+        let polled_at = self.workers.get(worker).polled_at;
         let mut unlisted = Vec::new();
         for slot in self.workers.get(worker).tasks.clone() {
             let Some(run) = self.jobs.run_name(slot) else {
@@ -601,7 +606,9 @@
             let lost = match task.phase {
                 // The fencing token rejects a late start from a predecessor.
                 TaskPhase::Unverified => true,
-                TaskPhase::Running => !task.start_unconfirmed && clock_ms > task.confirmed_ms,
+                TaskPhase::Running => {
+                    !task.start_unconfirmed && task.is_confirmed_before(polled_at)
+                }
                 TaskPhase::Waiting
                 | TaskPhase::Recording
                 | TaskPhase::Starting
--- a/sapphirewalk_core/src/job_registry.rs
+++ b/sapphirewalk_core/src/job_registry.rs
@@ -357,6 +357,13 @@
         self.confirmed_ms = self.confirmed_ms.max(clock_ms);
     }
 
+    /// Whether the run, or a stop of it, was last confirmed before a poll was sent, whose list then
+    /// shows what became of it. Clock readings don't tell: a worker may read its clock some time
+    /// after it has listed its runs, and its next incarnation counts from 0.
+    pub fn is_confirmed_before(&self, polled_at: TimePoint) -> bool {
+        self.confirmed_at <= polled_at
+    }
+
     /// Records the end of the present run, which its worker has had.
     pub const fn record_end(&mut self, cause: PauseCause, now: TimePoint) {
         self.pause = Some(RunPause { since: now, cause });
--- a/sapphirewalk_core/tests/coordinator/faults.rs
+++ b/sapphirewalk_core/tests/coordinator/faults.rs
@@ -81,6 +81,19 @@
     }
 }
 
+/// Guards against two runs of a task after a list that is older than the first run.
+#[test]
+fn outdated_lists_start_no_task_twice() {
+    for seed in 700..730 {
+        let plan = FaultPlan {
+            slow_answers: 0.2,
+            list_lag_ms: 3,
+            ..FaultPlan::default()
+        };
+        assert_jobs_ended(seed, &run_trial(seed, plan));
+    }
+}
+
 #[test]
 fn jobs_end_when_successors_take_over_from_running_leaders() {
     for seed in 100..130 {
--- a/sapphirewalk_core/tests/coordinator/main.rs
+++ b/sapphirewalk_core/tests/coordinator/main.rs
@@ -15,6 +15,7 @@
 mod leases;
 mod load;
 mod malformed;
+mod outdated_lists;
 mod overload;
 mod progress;
 mod repeated_stop;
--- /dev/null
+++ b/sapphirewalk_core/tests/coordinator/outdated_lists.rs
@@ -0,0 +1,234 @@
+//! Lists of runs that were requested before the start of a run was answered.
+
+use sapphirewalk_core::coordinator::CoordinatorLimits;
+use sapphirewalk_core::coordinator::Effect;
+use sapphirewalk_core::coordinator::Event;
+use sapphirewalk_core::coordinator::JobCoordinator;
+use sapphirewalk_core::coordinator::JobRecord;
+use sapphirewalk_core::coordinator::ListedRun;
+use sapphirewalk_core::coordinator::OrderAnswer;
+use sapphirewalk_core::coordinator::OrderTarget;
+use sapphirewalk_core::coordinator::PollAnswer;
+use sapphirewalk_core::job_spec::JobId;
+use sapphirewalk_core::job_spec::JobSpec;
+use sapphirewalk_core::job_spec::RunName;
+use sapphirewalk_core::job_spec::TaskName;
+use sapphirewalk_core::resource::ResourceVector;
+use sapphirewalk_core::time::TimePoint;
+use sapphirewalk_core::time::TimeSpan;
+use sapphirewalk_core::worker_registry::WorkerListing;
+
+use crate::simulation;
+
+const FIRST_RUN: RunName = RunName {
+    task: TaskName {
+        job: JobId(1),
+        occurrence: 0,
+        step: 0,
+        index: 0,
+    },
+    attempt: 1,
+};
+/// Clock of the worker's first incarnation when the job is submitted, in milliseconds.
+const FIRST_CLOCK_MS: u64 = 500_000;
+/// Start of the worker's first incarnation, and of its second, in Unix milliseconds.
+const FIRST_BORN_MS: u64 = 500_000;
+const SECOND_BORN_MS: u64 = 999_000;
+
+/// A coordinator with one worker and a job of one task. The task's first start and a poll that was
+/// sent before it are under way.
+struct RaceHarness {
+    coordinator: JobCoordinator,
+    now: TimePoint,
+    poll: Option<OrderTarget>,
+    start: Option<OrderTarget>,
+    /// Starts and stops that were ordered since.
+    orders: Vec<String>,
+}
+
+impl RaceHarness {
+    fn new() -> Self {
+        let now = TimePoint::from_millis(1_000_000);
+        let limits = CoordinatorLimits {
+            longest_lease: TimeSpan::from_secs(10),
+            retention: TimeSpan::from_secs(120),
+            harm_tolerance: TimeSpan::from_secs(4),
+            evacuation_bound: None,
+            service_lookahead: false,
+            unavailability_notice: TimeSpan::from_millis(5_500),
+        };
+        let mut harness = Self {
+            coordinator: JobCoordinator::new(limits, 1, now),
+            now,
+            poll: None,
+            start: None,
+            orders: Vec::new(),
+        };
+        harness.coordinator.set_workers(vec![listing()], now);
+        harness.advance(1);
+        // The answer to the next poll stays under way.
+        harness.answer_poll(FIRST_CLOCK_MS, FIRST_BORN_MS, &[]);
+        let record = JobRecord {
+            id: FIRST_RUN.task.job,
+            queue: "bulk".to_owned(),
+            pool: "pool".to_owned(),
+            spec: JobSpec {
+                spec: "text".to_owned(),
+                steps: vec![simulation::step(1, 1_000, 10_000, &[])],
+                schedule: None,
+            },
+            accepted_at: now,
+            terms: None,
+        };
+        harness.coordinator.handle(Event::Stored(record), now);
+        harness.advance(100);
+        assert_eq!(harness.orders, ["start 1"]);
+        harness.orders.clear();
+        harness
+    }
+
+    /// Lets time pass. Batches are committed at once; other effects get no answer.
+    fn advance(&mut self, span_ms: u64) {
+        for _ in 0..span_ms {
+            self.now = self.now + TimeSpan::from_millis(1);
+            for effect in self.coordinator.run(self.now) {
+                match effect {
+                    Effect::Commit(batch) => {
+                        let event = Event::Committed(batch.number);
+                        self.coordinator.handle(event, self.now);
+                    }
+                    Effect::Start { target, run, .. } => {
+                        self.orders.push(format!("start {}", run.attempt));
+                        self.start = Some(target);
+                    }
+                    Effect::Stop { run, .. } => self.orders.push(format!("stop {}", run.attempt)),
+                    Effect::Poll { target, .. } => self.poll = Some(target),
+                    _ => {}
+                }
+            }
+        }
+    }
+
+    /// The worker accepts the first start.
+    fn accept_start(&mut self, clock_ms: u64) {
+        let target = self.start.take().expect("the start was sent");
+        let event = Event::Started {
+            worker: target.worker,
+            fence: target.fence,
+            run: FIRST_RUN,
+            answer: OrderAnswer::Accepted { clock_ms },
+        };
+        self.coordinator.handle(event, self.now);
+        self.advance(1);
+    }
+
+    /// The worker answers the poll that is under way.
+    fn answer_poll(&mut self, clock_ms: u64, born_ms: u64, running: &[RunName]) {
+        let target = self.poll.take().expect("the worker is polled");
+        let event = polled(&target, clock_ms, born_ms, running);
+        self.coordinator.handle(event, self.now);
+        self.advance(1);
+    }
+}
+
+fn listing() -> WorkerListing {
+    WorkerListing {
+        id: "w0".to_owned(),
+        pool: "pool".to_owned(),
+        address: ([127, 0, 0, 1], 1_000).into(),
+        domain: "domain".to_owned(),
+        rack: "rack".to_owned(),
+        labels: Vec::new(),
+        capacity: ResourceVector {
+            cpu_millis: 16_000,
+            memory_mib: 64_000,
+            accelerators: 0,
+        },
+        draining: false,
+        leaves_in: TimeSpan::ZERO,
+        born_ms: FIRST_BORN_MS,
+    }
+}
+
+fn polled(target: &OrderTarget, clock_ms: u64, born_ms: u64, running: &[RunName]) -> Event {
+    let running = running.iter().map(|run| ListedRun {
+        run: *run,
+        checkpoint: String::new(),
+        percent: 1,
+        gauge: None,
+    });
+    Event::Polled {
+        worker: target.worker,
+        deadline_ms: 0,
+        answer: PollAnswer::Lists {
+            clock_ms,
+            born_ms,
+            running: running.collect(),
+            ended: Vec::new(),
+        },
+    }
+}
+
+/// Guards against a second run after a list that was taken before the start and whose clock reading
+/// was taken after it.
+#[test]
+fn a_list_whose_clock_was_read_after_the_start_does_not_end_the_run() {
+    let mut harness = RaceHarness::new();
+    harness.accept_start(FIRST_CLOCK_MS + 100);
+    harness.answer_poll(FIRST_CLOCK_MS + 102, FIRST_BORN_MS, &[]);
+    harness.advance(50);
+    harness.answer_poll(FIRST_CLOCK_MS + 150, FIRST_BORN_MS, &[FIRST_RUN]);
+    harness.advance(50);
+    assert_eq!(harness.orders, Vec::<String>::new());
+}
+
+/// Guards against a second run after the first list of a restarted worker, which accepted the start
+/// after it had made the list.
+#[test]
+fn the_first_list_of_a_restarted_worker_does_not_end_a_run_that_it_has_started_since() {
+    let mut harness = RaceHarness::new();
+    harness.accept_start(100);
+    harness.answer_poll(99, SECOND_BORN_MS, &[]);
+    harness.advance(50);
+    harness.answer_poll(150, SECOND_BORN_MS, &[FIRST_RUN]);
+    harness.advance(50);
+    assert_eq!(harness.orders, Vec::<String>::new());
+}
+
+/// Guards against a second run after a list of a worker's former incarnation, whose clock was ahead.
+#[test]
+fn a_list_of_the_former_incarnation_does_not_end_a_run_of_the_present_one() {
+    let mut harness = RaceHarness::new();
+    harness.accept_start(100);
+    harness.answer_poll(FIRST_CLOCK_MS + 1, FIRST_BORN_MS, &[]);
+    harness.advance(50);
+    harness.answer_poll(150, SECOND_BORN_MS, &[FIRST_RUN]);
+    harness.advance(50);
+    assert_eq!(harness.orders, Vec::<String>::new());
+}
+
+/// Guards against a task that stays without a run because the start was confirmed by a former
+/// incarnation, whose clock was ahead.
+#[test]
+fn a_run_of_the_former_incarnation_is_lost_with_the_next_list() {
+    let mut harness = RaceHarness::new();
+    harness.answer_poll(50, SECOND_BORN_MS, &[]);
+    harness.accept_start(FIRST_CLOCK_MS + 1);
+    harness.advance(10);
+    harness.answer_poll(70, SECOND_BORN_MS, &[]);
+    harness.advance(10);
+    harness.answer_poll(90, SECOND_BORN_MS, &[]);
+    harness.advance(100);
+    assert_eq!(harness.orders, ["start 2"]);
+}
+
+#[test]
+fn a_list_that_was_requested_after_the_start_was_answered_ends_the_run() {
+    let mut harness = RaceHarness::new();
+    harness.accept_start(FIRST_CLOCK_MS + 100);
+    harness.answer_poll(FIRST_CLOCK_MS + 100, FIRST_BORN_MS, &[]);
+    harness.advance(10);
+    harness.answer_poll(FIRST_CLOCK_MS + 110, FIRST_BORN_MS, &[]);
+    harness.advance(100);
+    assert_eq!(harness.orders, ["start 2"]);
+}
--- a/sapphirewalk_core/tests/coordinator/simulation.rs
+++ b/sapphirewalk_core/tests/coordinator/simulation.rs
@@ -119,6 +119,11 @@
     pub late_orders: f64,
     /// Share of orders that are executed and whose answer is lost.
     pub lost_answers: f64,
+    /// Share of answers that arrive 4 to 400 ms later than others.
+    pub slow_answers: f64,
+    /// Longest time in milliseconds by which lists of runs are older than the clock reading that
+    /// is returned with them.
+    pub list_lag_ms: u64,
     /// Share of batches that are committed and confirmed only 900 ms later.
     pub lost_commit_answers: f64,
     /// Times at which another coordinator becomes leader while the former one still runs.
@@ -1368,20 +1373,41 @@
             }
         }
         self.check_stop(worker, &order, late);
-        let event = self.execute(worker, &order);
+        let mut event = self.execute(worker, &order);
         if late {
             return;
         }
+        let lag_ms = self.delay_clock_reading(worker, &mut event);
         let lost = self.draw_fault(self.plan.lost_answers);
         let (delay, event) = if lost {
             (order.timeout_ms(), unanswered(&order))
+        } else if self.draw_fault(self.plan.slow_answers) {
+            (lag_ms + self.rng.random_range(4..400), event)
         } else {
-            (self.rng.random_range(1..4), event)
+            (lag_ms + self.rng.random_range(1..4), event)
         };
         let at = self.now_ms + delay;
         self.schedule(at, Action::Answer { leader, event });
     }
 
+    /// Lets a worker read its clock some time after it has listed its runs. Returns that time in
+    /// milliseconds.
+    fn delay_clock_reading(&mut self, number: usize, event: &mut Event) -> u64 {
+        let Event::Polled {
+            answer: PollAnswer::Lists { clock_ms, .. },
+            ..
+        } = event
+        else {
+            return 0;
+        };
+        if self.plan.list_lag_ms == 0 {
+            return 0;
+        }
+        let lag_ms = self.rng.random_range(0..=self.plan.list_lag_ms);
+        *clock_ms = self.workers[number].clock(self.now_ms + lag_ms);
+        lag_ms
+    }
+
     /// Extends a worker's lease when a poll arrives, before its answer.
     fn extend_lease(&mut self, number: usize, target: &OrderTarget, deadline_ms: u64) {
         self.expire_lease(number);
