Send the recorded start of a run that its worker doesn't list

Callers could have two runs of one task at once after a takeover: the former leader, frozen and then replaced, still sent a start that it had recorded.

Cause: its successor counts such a run as lost as soon as the worker answers without it, because the worker now rejects the former leader's fencing token. A worker that restarts after that answer knows no token, and accepts the start, while the task has another run elsewhere.

Ruled out: waiting until the former leader's authority has ended would delay these tasks by 3 s in each takeover; starts can't name the incarnation that they are meant for.

Change: the successor sends the recorded start itself, to the same worker and under the same number. Whichever of the two arrives first, there is one run, and the other start has no effect. The event is run_resumed. Where the worker may not take the task any more, and for tasks that may have crashed a worker, it stays as before.

--- a/sapphirewalk_core/src/coordinator/poll.rs
+++ b/sapphirewalk_core/src/coordinator/poll.rs
@@ -592,7 +592,7 @@
         self.end_trial(worker);
         self.workers.get_mut(worker).gauges = gauges;
         let polled_at = self.workers.get(worker).polled_at;
-        let mut unlisted = Vec::new();
+        let (mut unlisted, mut recorded) = (Vec::new(), Vec::new());
         for slot in self.workers.get(worker).tasks.clone() {
             let Some(run) = self.jobs.run_name(slot) else {
                 continue;
@@ -603,22 +603,57 @@
             let Some(task) = self.jobs.task(slot) else {
                 continue;
             };
-            let lost = match task.phase {
-                // The fencing token rejects a late start from a predecessor.
-                TaskPhase::Unverified => true,
-                TaskPhase::Running => {
-                    !task.start_unconfirmed && task.is_confirmed_before(polled_at)
+            match task.phase {
+                TaskPhase::Unverified if self.may_resume(slot, worker, now) => recorded.push(slot),
+                TaskPhase::Unverified => unlisted.push(slot),
+                TaskPhase::Running
+                    if !task.start_unconfirmed && task.is_confirmed_before(polled_at) =>
+                {
+                    unlisted.push(slot);
                 }
-                TaskPhase::Waiting
+                TaskPhase::Running
+                | TaskPhase::Waiting
                 | TaskPhase::Recording
                 | TaskPhase::Starting
-                | TaskPhase::Done => false,
-            };
-            if lost {
-                unlisted.push(slot);
+                | TaskPhase::Done => {}
             }
         }
         self.lose_runs(worker, &unlisted, LossCause::NotListed, now);
+        for slot in recorded {
+            self.resume_run(slot, worker, now);
+        }
+    }
+
+    /// Whether a run that a former coordinator recorded, and that its worker doesn't list, may start
+    /// there.
+    fn may_resume(&self, slot: TaskSlot, worker: WorkerSlot, now: TimePoint) -> bool {
+        let (Some(job), Some(task)) = (self.jobs.get(slot.job), self.jobs.task(slot)) else {
+            return false;
+        };
+        let entry = self.workers.get(worker);
+        task.worker_born_ms == entry.born_ms
+            && !job.state.is_final()
+            && !task.crash_history.is_suspect()
+            && self.workers.pool(worker) == job.pool_key
+            && entry.is_usable(now, SILENCE_LIMIT)
+            && !entry.is_over_capacity()
+            && self.start_obstacle(slot, now).is_none()
+    }
+
+    /// Sends the start of a run that a former coordinator recorded. The run keeps its worker and its
+    /// number: the former coordinator may still send the start, and a worker that has restarted
+    /// since knows no fencing token that rejects it.
+    fn resume_run(&mut self, slot: TaskSlot, worker: WorkerSlot, now: TimePoint) {
+        let Some(run) = self.jobs.run_name(slot) else {
+            return;
+        };
+        let id = &self.workers.get(worker).listing.id;
+        let detail = format!("run={run} worker={id}");
+        self.log("run_resumed", Some(run.task.job), detail);
+        if let Some(task) = self.jobs.task_mut(slot) {
+            task.pace = worker_registry::FULL_PACE;
+        }
+        self.send_start(slot, now);
     }
 
     /// The resources that a run reserves on its worker; none if its job is unknown.
--- /dev/null
+++ b/sapphirewalk_core/tests/coordinator/late_starts.rs
@@ -0,0 +1,190 @@
+//! Starts that a leader sends after it was frozen, while its successor leads.
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use sapphirewalk_core::coordinator::CoordinatorLimits;
+use sapphirewalk_core::coordinator::Effect;
+use sapphirewalk_core::coordinator::Event;
+use sapphirewalk_core::coordinator::JobCoordinator;
+use sapphirewalk_core::coordinator::JobRecord;
+use sapphirewalk_core::coordinator::PollAnswer;
+use sapphirewalk_core::coordinator::RecoveryRecords;
+use sapphirewalk_core::job_registry::JobProgress;
+use sapphirewalk_core::job_spec::JobId;
+use sapphirewalk_core::job_spec::JobSpec;
+use sapphirewalk_core::resource::ResourceVector;
+use sapphirewalk_core::time::TimePoint;
+use sapphirewalk_core::time::TimeSpan;
+use sapphirewalk_core::worker_registry::WorkerListing;
+
+use crate::simulation;
+use crate::simulation::ClusterSimulation;
+use crate::simulation::FaultPlan;
+
+const WORKERS: usize = 10;
+const JOBS: u64 = 60;
+const BORN_MS: u64 = 500_000;
+
+/// A coordinator with two idle workers, and its time.
+struct LeaderHarness {
+    coordinator: JobCoordinator,
+    now: TimePoint,
+    /// Starts so far: worker and attempt.
+    starts: Vec<(String, u32)>,
+    /// Batches without a confirmation.
+    batches: Vec<u64>,
+    /// The last progress that was written.
+    progress: Option<JobProgress>,
+    confirms: bool,
+}
+
+impl LeaderHarness {
+    fn new(fence: u64, now: TimePoint, progress: Option<JobProgress>) -> Self {
+        let limits = CoordinatorLimits {
+            longest_lease: TimeSpan::from_secs(10),
+            retention: TimeSpan::from_secs(120),
+            harm_tolerance: TimeSpan::from_secs(4),
+            evacuation_bound: None,
+            service_lookahead: false,
+            unavailability_notice: TimeSpan::from_millis(5_500),
+        };
+        let mut coordinator = JobCoordinator::new(limits, fence, now);
+        if let Some(progress) = progress {
+            let records = RecoveryRecords {
+                jobs: vec![job()],
+                progress: vec![progress],
+                ..RecoveryRecords::default()
+            };
+            coordinator.restore(records, now);
+        }
+        coordinator.set_workers(vec![listing(0), listing(1)], now);
+        Self {
+            coordinator,
+            now,
+            starts: Vec::new(),
+            batches: Vec::new(),
+            progress: None,
+            confirms: true,
+        }
+    }
+
+    /// Lets time pass. Workers answer polls at once and list no runs.
+    fn advance(&mut self, span_ms: u64) {
+        for _ in 0..span_ms {
+            self.now = self.now + TimeSpan::from_millis(1);
+            if self.confirms {
+                for number in std::mem::take(&mut self.batches) {
+                    self.coordinator.handle(Event::Committed(number), self.now);
+                }
+            }
+            for effect in self.coordinator.run(self.now) {
+                self.apply(effect);
+            }
+        }
+    }
+
+    fn apply(&mut self, effect: Effect) {
+        match effect {
+            Effect::Commit(batch) => {
+                self.progress = batch.rows.last().cloned().or(self.progress.take());
+                self.batches.push(batch.number);
+            }
+            Effect::Start { target, run, .. } => self.starts.push((target.id, run.attempt)),
+            Effect::Poll { target, .. } => {
+                let event = Event::Polled {
+                    worker: target.worker,
+                    deadline_ms: 0,
+                    answer: PollAnswer::Lists {
+                        clock_ms: self.now.as_millis() - BORN_MS,
+                        born_ms: BORN_MS,
+                        running: Vec::new(),
+                        ended: Vec::new(),
+                    },
+                };
+                self.coordinator.handle(event, self.now);
+            }
+            _ => {}
+        }
+    }
+}
+
+fn listing(number: u16) -> WorkerListing {
+    WorkerListing {
+        id: format!("w{number}"),
+        pool: "pool".to_owned(),
+        address: ([127, 0, 0, 1], 1_000 + number).into(),
+        domain: "domain".to_owned(),
+        rack: "rack".to_owned(),
+        labels: Vec::new(),
+        capacity: ResourceVector {
+            cpu_millis: 16_000,
+            memory_mib: 64_000,
+            accelerators: 0,
+        },
+        draining: false,
+        leaves_in: TimeSpan::ZERO,
+        born_ms: BORN_MS,
+    }
+}
+
+/// A job of one task.
+fn job() -> JobRecord {
+    JobRecord {
+        id: JobId(1),
+        queue: "bulk".to_owned(),
+        pool: "pool".to_owned(),
+        spec: JobSpec {
+            spec: "text".to_owned(),
+            steps: vec![simulation::step(1, 1_000, 10_000, &[])],
+            schedule: None,
+        },
+        accepted_at: TimePoint::from_millis(1_000_000),
+        terms: None,
+    }
+}
+
+/// Guards against two runs of a task of which a frozen leader sends the first start while its
+/// successor has placed the task again.
+#[test]
+fn a_successor_sends_the_start_that_its_predecessor_had_recorded() {
+    let mut former = LeaderHarness::new(1, TimePoint::from_millis(1_000_000), None);
+    former.advance(10);
+    former.coordinator.handle(Event::Stored(job()), former.now);
+    former.confirms = false;
+    former.advance(50);
+    assert_eq!(former.starts, []);
+    let mut successor = LeaderHarness::new(2, former.now, former.progress.take());
+    successor.advance(50);
+    former.confirms = true;
+    former.advance(1);
+    assert_eq!(former.starts.len(), 1);
+    assert_eq!(successor.starts, former.starts);
+}
+
+/// Guards against two runs of a task after workers restart while a frozen leader is replaced.
+#[test]
+fn a_frozen_leader_starts_no_task_that_its_successor_has_started_elsewhere() {
+    for seed in 0..60 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut plan = FaultPlan::default();
+        for round in 0..4 {
+            let from = 4_000 + round * 4_000 + rng.random_range(0..500);
+            plan.freezes.push((from, from + 1_000));
+            plan.takeovers.push(from + 500);
+            for worker in 0..WORKERS {
+                let crash = from + rng.random_range(600..800);
+                let back = from + rng.random_range(820..990);
+                plan.crashes.push((worker, crash, back));
+            }
+        }
+        let mut simulation = ClusterSimulation::new(seed, WORKERS, plan);
+        for id in 0..JOBS {
+            let at = 1_000 + id * 300;
+            let step = simulation::step(6, 1_500, rng.random_range(1_000..3_000), &[]);
+            simulation.submit(at, id, "bulk", vec![step]);
+        }
+        simulation.run_until(40_000);
+        assert_eq!(simulation.violations, Vec::<String>::new(), "seed {seed}");
+    }
+}
--- a/sapphirewalk_core/tests/coordinator/main.rs
+++ b/sapphirewalk_core/tests/coordinator/main.rs
@@ -12,6 +12,7 @@
 mod harm;
 mod job_lifecycle;
 mod lapsed_leases;
+mod late_starts;
 mod leases;
 mod load;
 mod malformed;
