Record a start again whose record was confirmed long ago

A leader that was frozen for longer than its authority lasts sent the starts of its last batch when it read the confirmation, while a successor may have led for seconds.

Cause: authority was required of polls and of starts that are sent again, but not of the first sends.

Change: without authority a start isn't sent; its job is written with the next batch, whose confirmation shows that this leader still leads.

Measured: late_starts::a_start_whose_record_was_confirmed_long_ago_is_recorded_again failed before (one start without a second record) and passes now.

--- a/sapphirewalk_core/src/coordinator/commit.rs
+++ b/sapphirewalk_core/src/coordinator/commit.rs
@@ -261,7 +261,13 @@
             self.schedule_poll(worker, next_poll);
         }
         for slot in batch.starts {
-            self.send_committed_start(slot, now);
+            if self.has_authority(now) {
+                self.send_committed_start(slot, now);
+            } else {
+                // The confirmation was read late, and another coordinator may lead. The next batch
+                // shows whether the start may still be sent.
+                self.mark_dirty(slot.job);
+            }
         }
     }
 
--- a/sapphirewalk_core/tests/coordinator/late_starts.rs
+++ b/sapphirewalk_core/tests/coordinator/late_starts.rs
@@ -162,6 +162,29 @@
     assert_eq!(successor.starts, former.starts);
 }
 
+/// Guards against starts of a leader that reads a confirmation of the store so late that another one
+/// may lead.
+#[test]
+fn a_start_whose_record_was_confirmed_long_ago_is_recorded_again() {
+    let mut leader = LeaderHarness::new(1, TimePoint::from_millis(1_000_000), None);
+    leader.advance(10);
+    leader.coordinator.handle(Event::Stored(job()), leader.now);
+    leader.confirms = false;
+    leader.advance(50);
+    let late = std::mem::take(&mut leader.batches);
+    leader.now = leader.now + TimeSpan::from_millis(4_000);
+    for number in late {
+        leader
+            .coordinator
+            .handle(Event::Committed(number), leader.now);
+    }
+    leader.advance(100);
+    assert_eq!(leader.starts, []);
+    leader.confirms = true;
+    leader.advance(100);
+    assert_eq!(leader.starts.len(), 1);
+}
+
 /// Guards against two runs of a task after workers restart while a frozen leader is replaced.
 #[test]
 fn a_frozen_leader_starts_no_task_that_its_successor_has_started_elsewhere() {
