Acknowledge no ends to a worker that may have restarted

Done tasks ran again after their worker had restarted under its identifier while the leader was held up.

Cause: a worker numbers its ends anew after a restart. A poll that was sent before the leader had noticed it carried the acknowledgement of the former incarnation, up to which the worker discards ends. Ends of starts that it had accepted meanwhile were lost, and counted as noted. Only a failed poll withheld acknowledgements.

Change: they are also withheld after a late poll or a late answer, as after a freeze, while a start is overdue, and after an answer whose clock reading shows a restart, until a list that was requested later. Such polls are 50 ms apart where the worker would answer at once.

What remains: a poll that is under way as its worker restarts, within about the time of an answer.

--- a/sapphirewalk_core/src/coordinator/commands.rs
+++ b/sapphirewalk_core/src/coordinator/commands.rs
@@ -72,6 +72,7 @@
         match answer {
             OrderAnswer::Accepted { clock_ms } => {
                 let entry = self.workers.get_mut(worker);
+                entry.observe_clock(clock_ms, task.phase_since, now);
                 entry.alive_ms = entry.alive_ms.max(clock_ms);
                 task.phase = TaskPhase::Running;
                 task.phase_since = now;
--- a/sapphirewalk_core/src/coordinator/poll.rs
+++ b/sapphirewalk_core/src/coordinator/poll.rs
@@ -11,6 +11,7 @@
 use crate::job_registry::JobSlot;
 use crate::job_registry::JobState;
 use crate::job_registry::PauseCause;
+use crate::job_registry::TaskEntry;
 use crate::job_registry::TaskPhase;
 use crate::job_registry::TaskSlot;
 use crate::job_spec::RunName;
@@ -32,6 +33,11 @@
 /// Time without an answer after which a worker gets no new tasks: twice the usual wait of a poll
 /// plus a margin.
 pub const SILENCE_LIMIT: TimeSpan = TimeSpan::from_millis(2_200);
+/// Time for an answer, after which the worker may have restarted before it is read. Workers answer
+/// within a few ms, but a leader that is short of processor time reads answers late.
+const OVERDUE_SPAN: TimeSpan = TimeSpan::from_millis(500);
+/// Least delay of a poll that acknowledges no ends, since the worker then answers without a wait.
+const UNACKNOWLEDGED_DELAY: TimeSpan = TimeSpan::from_millis(50);
 /// How long another worker must answer at an address before the previous worker counts as ended.
 /// The list of workers is read every 0.7 s, so by then it would show a worker that only changed its
 /// address.
@@ -70,13 +76,16 @@
             let deadline_ms = self.lease_deadline(slot, now);
             let target = self.order_target(slot);
             let timing = self.poll_timing(slot, now);
+            let is_late = now.since(entry.next_poll) > OVERDUE_SPAN;
+            let may_have_restarted = is_late || self.may_have_restarted(slot, now);
             let entry = self.workers.get_mut(slot);
             entry.polling = true;
             entry.polled_at = now;
+            entry.poll_wait = timing.wait();
             entry.lease_end_ms = entry.lease_end_ms.max(deadline_ms);
             // After a restart the worker numbers its ends anew and would discard ends that it has
             // not listed.
-            let acked = if entry.failed_polls > 0 {
+            let acked = if may_have_restarted {
                 0
             } else {
                 entry.acked_end
@@ -97,6 +106,18 @@
         self.poll_queue.schedule(worker, at);
     }
 
+    /// Whether a worker may have restarted since it listed its runs last: a poll has failed, its clock
+    /// has gone back, or an answer was or is overdue.
+    fn may_have_restarted(&self, worker: WorkerSlot, now: TimePoint) -> bool {
+        let entry = self.workers.get(worker);
+        let is_overdue = |task: &TaskEntry| {
+            let waits = task.phase == TaskPhase::Starting;
+            task.start_unconfirmed || (waits && now.since(task.phase_since) > OVERDUE_SPAN)
+        };
+        let mut tasks = entry.tasks.iter().filter_map(|slot| self.jobs.task(*slot));
+        entry.failed_polls > 0 || entry.restart_suspected_at.is_some() || tasks.any(is_overdue)
+    }
+
     /// Delay of a worker's next poll under the present lag.
     pub(super) fn poll_delay(&self, worker: WorkerSlot) -> TimeSpan {
         let tasks = &self.workers.get(worker).tasks;
@@ -185,6 +206,12 @@
         }
         entry.failed_polls = 0;
         entry.replaced_since = None;
+        let suspected_at = entry.restart_suspected_at;
+        entry.restart_suspected_at = suspected_at.filter(|at| *at > entry.polled_at);
+        if now.since(entry.polled_at) > entry.poll_wait + OVERDUE_SPAN {
+            // The answer was read late.
+            entry.restart_suspected_at = Some(now);
+        }
         entry.answered_at = now;
         let other_incarnation = entry.born_ms != born_ms;
         if restarted {
@@ -219,7 +246,10 @@
         let newly_adopted = !entry.fence_confirmed;
         entry.fence_confirmed = true;
         let poll_delay = self.poll_timing(worker, now).answered_delay();
-        let poll_delay = poll_delay.max(self.poll_delay(worker));
+        let mut poll_delay = poll_delay.max(self.poll_delay(worker));
+        if self.workers.get(worker).acked_end > 0 && self.may_have_restarted(worker, now) {
+            poll_delay = poll_delay.max(UNACKNOWLEDGED_DELAY);
+        }
         self.schedule_poll(worker, now + poll_delay);
         if newly_adopted || was_lost {
             self.place_due = true;
--- a/sapphirewalk_core/src/worker_registry.rs
+++ b/sapphirewalk_core/src/worker_registry.rs
@@ -119,6 +119,9 @@
     pub born_ms: u64,
     /// Number of incarnations that ended under this coordinator; part of the fencing token.
     pub ended_incarnations: u64,
+    /// When an answer showed that the worker may have restarted since its last list; none if none
+    /// has, or a list that was requested later has arrived.
+    pub restart_suspected_at: Option<TimePoint>,
     /// The worker answered a poll that carried this coordinator's fencing token.
     pub fence_confirmed: bool,
     /// Highest clock reading in any answer of the present incarnation, in ms on the worker's clock.
@@ -152,6 +155,8 @@
     pub polling: bool,
     /// When the last poll was sent.
     pub polled_at: TimePoint,
+    /// Longest time for which the worker may delay its answer to the last poll.
+    pub poll_wait: TimeSpan,
     /// Earliest time of the next poll.
     pub next_poll: TimePoint,
     /// When the worker last answered a poll.
@@ -235,6 +240,7 @@
             evacuated: false,
             born_ms: 0,
             ended_incarnations: 0,
+            restart_suspected_at: None,
             fence_confirmed: false,
             alive_ms: 0,
             clock: None,
@@ -250,6 +256,7 @@
             unwritten_ends: Vec::new(),
             polling: false,
             polled_at: TimePoint::EPOCH,
+            poll_wait: TimeSpan::ZERO,
             next_poll: TimePoint::EPOCH,
             answered_at: TimePoint::EPOCH,
             failed_polls: 0,
@@ -281,6 +288,16 @@
         Some(clock_ms.saturating_sub(reading.at.since(at).as_millis()))
     }
 
+    /// Records the clock reading in the answer to an order. The incarnation that listed its runs last
+    /// can't have been behind its clock at the time when the order was sent.
+    pub fn observe_clock(&mut self, clock_ms: u64, sent_at: TimePoint, now: TimePoint) {
+        let listed_ms = self.clock.map(|reading| reading.worker_ms);
+        let least_ms = self.clock_then(sent_at).min(listed_ms);
+        if least_ms.is_some_and(|least_ms| clock_ms < least_ms) {
+            self.restart_suspected_at = Some(now);
+        }
+    }
+
     /// When every lease on the worker has expired, whoever granted it and however slow its clock.
     pub fn leases_expired_at(&self) -> TimePoint {
         let own_leases = self.own_leases_expired_at();
--- a/sapphirewalk_core/tests/coordinator/late_starts.rs
+++ b/sapphirewalk_core/tests/coordinator/late_starts.rs
@@ -1,4 +1,4 @@
-//! Starts that a leader sends after it was frozen, while its successor leads.
+//! Starts and acknowledgements that a leader sends after it was frozen.
 
 use rand::RngExt;
 use rand::SeedableRng;
@@ -211,3 +211,30 @@
         assert_eq!(simulation.violations, Vec::<String>::new(), "seed {seed}");
     }
 }
+
+/// Guards against done tasks that run again because their workers restarted while the leader was
+/// frozen, and discarded their ends with those of the former incarnation.
+#[test]
+fn ends_of_workers_that_restarted_during_a_freeze_are_recorded() {
+    for seed in 0..60 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut plan = FaultPlan::default();
+        for round in 0..3 {
+            let from = 4_000 + round * 5_000 + rng.random_range(0..500);
+            plan.freezes.push((from, from + 2_500));
+            for worker in 0..WORKERS {
+                let crash = from + rng.random_range(50..1_000);
+                plan.crashes
+                    .push((worker, crash, crash + rng.random_range(50..400)));
+            }
+        }
+        let mut simulation = ClusterSimulation::new(seed, WORKERS, plan);
+        for id in 0..JOBS {
+            let at = 1_000 + id * 300;
+            let step = simulation::step(6, 1_500, rng.random_range(100..900), &[]);
+            simulation.submit(at, id, "bulk", vec![step]);
+        }
+        simulation.run_until(40_000);
+        assert_eq!(simulation.violations, Vec::<String>::new(), "seed {seed}");
+    }
+}
--- a/sapphirewalk_core/tests/coordinator/outdated_lists.rs
+++ b/sapphirewalk_core/tests/coordinator/outdated_lists.rs
@@ -1,14 +1,17 @@
-//! Lists of runs that were requested before the start of a run was answered.
+//! Lists of runs that were requested before the start of a run was answered, and acknowledgements of
+//! ends that a restarted worker would take for its own.
 
 use sapphirewalk_core::coordinator::CoordinatorLimits;
 use sapphirewalk_core::coordinator::Effect;
 use sapphirewalk_core::coordinator::Event;
 use sapphirewalk_core::coordinator::JobCoordinator;
 use sapphirewalk_core::coordinator::JobRecord;
+use sapphirewalk_core::coordinator::ListedEnd;
 use sapphirewalk_core::coordinator::ListedRun;
 use sapphirewalk_core::coordinator::OrderAnswer;
 use sapphirewalk_core::coordinator::OrderTarget;
 use sapphirewalk_core::coordinator::PollAnswer;
+use sapphirewalk_core::coordinator::RunEnd;
 use sapphirewalk_core::job_spec::JobId;
 use sapphirewalk_core::job_spec::JobSpec;
 use sapphirewalk_core::job_spec::RunName;
@@ -42,6 +45,10 @@
     now: TimePoint,
     poll: Option<OrderTarget>,
     start: Option<OrderTarget>,
+    /// Highest end that the poll under way acknowledges.
+    acked: u64,
+    /// Number of ends that the worker lists, of runs that no job knows.
+    ends: u64,
     /// Starts and stops that were ordered since.
     orders: Vec<String>,
 }
@@ -62,6 +69,8 @@
             now,
             poll: None,
             start: None,
+            acked: 0,
+            ends: 0,
             orders: Vec::new(),
         };
         harness.coordinator.set_workers(vec![listing()], now);
@@ -102,7 +111,10 @@
                         self.start = Some(target);
                     }
                     Effect::Stop { run, .. } => self.orders.push(format!("stop {}", run.attempt)),
-                    Effect::Poll { target, .. } => self.poll = Some(target),
+                    Effect::Poll { target, acked, .. } => {
+                        self.poll = Some(target);
+                        self.acked = acked;
+                    }
                     _ => {}
                 }
             }
@@ -125,7 +137,7 @@
     /// The worker answers the poll that is under way.
     fn answer_poll(&mut self, clock_ms: u64, born_ms: u64, running: &[RunName]) {
         let target = self.poll.take().expect("the worker is polled");
-        let event = polled(&target, clock_ms, born_ms, running);
+        let event = polled(&target, clock_ms, born_ms, running, self.ends);
         self.coordinator.handle(event, self.now);
         self.advance(1);
     }
@@ -150,7 +162,25 @@
     }
 }
 
-fn polled(target: &OrderTarget, clock_ms: u64, born_ms: u64, running: &[RunName]) -> Event {
+fn polled(
+    target: &OrderTarget,
+    clock_ms: u64,
+    born_ms: u64,
+    running: &[RunName],
+    ends: u64,
+) -> Event {
+    let ended = (1..=ends).map(|number| ListedEnd {
+        number,
+        run: RunName {
+            task: TaskName {
+                job: JobId(900),
+                ..FIRST_RUN.task
+            },
+            attempt: 1,
+        },
+        end: RunEnd::Done,
+        checkpoint: String::new(),
+    });
     let running = running.iter().map(|run| ListedRun {
         run: *run,
         checkpoint: String::new(),
@@ -164,7 +194,7 @@
             clock_ms,
             born_ms,
             running: running.collect(),
-            ended: Vec::new(),
+            ended: ended.collect(),
         },
     }
 }
@@ -232,3 +262,53 @@
     harness.advance(100);
     assert_eq!(harness.orders, ["start 2"]);
 }
+
+/// Guards against a worker that discards ends of its present incarnation because it gets the
+/// acknowledgement of a former one, so that done tasks run again.
+#[test]
+fn a_worker_whose_clock_went_back_gets_no_acknowledgement() {
+    let mut harness = RaceHarness::new();
+    harness.ends = 3;
+    harness.answer_poll(FIRST_CLOCK_MS + 100, FIRST_BORN_MS, &[]);
+    assert_eq!(harness.acked, 3);
+    harness.advance(10);
+    harness.accept_start(100);
+    harness.answer_poll(FIRST_CLOCK_MS + 101, FIRST_BORN_MS, &[]);
+    harness.advance(200);
+    assert_eq!(harness.acked, 0);
+    harness.ends = 0;
+    harness.answer_poll(400, SECOND_BORN_MS, &[FIRST_RUN]);
+    harness.ends = 1;
+    harness.advance(10);
+    harness.answer_poll(420, SECOND_BORN_MS, &[FIRST_RUN]);
+    harness.advance(10);
+    assert_eq!(harness.acked, 1);
+}
+
+#[test]
+fn a_leader_that_was_frozen_acknowledges_ends_after_another_list() {
+    let mut harness = RaceHarness::new();
+    harness.accept_start(FIRST_CLOCK_MS + 100);
+    harness.ends = 3;
+    harness.answer_poll(FIRST_CLOCK_MS + 101, FIRST_BORN_MS, &[FIRST_RUN]);
+    assert_eq!(harness.acked, 3);
+    harness.now = harness.now + TimeSpan::from_millis(2_000);
+    harness.answer_poll(FIRST_CLOCK_MS + 102, FIRST_BORN_MS, &[FIRST_RUN]);
+    harness.advance(200);
+    assert_eq!(harness.acked, 0);
+    harness.answer_poll(FIRST_CLOCK_MS + 2_400, FIRST_BORN_MS, &[FIRST_RUN]);
+    harness.advance(10);
+    assert_eq!(harness.acked, 3);
+}
+
+#[test]
+fn a_worker_with_an_overdue_start_gets_no_acknowledgement() {
+    let mut harness = RaceHarness::new();
+    harness.ends = 3;
+    harness.answer_poll(FIRST_CLOCK_MS + 101, FIRST_BORN_MS, &[]);
+    assert_eq!(harness.acked, 3);
+    harness.advance(600);
+    harness.answer_poll(FIRST_CLOCK_MS + 700, FIRST_BORN_MS, &[]);
+    harness.advance(200);
+    assert_eq!(harness.acked, 0);
+}
