Judge no run lost by a list that leaves out ends

Cause: a worker lists 500 ends at a time, and a run in neither list counted as lost although its end was to follow. The same class as outdated lists: a missing entry was taken as proof.

Change: the platform's client states whether the ends are complete, by the 500 of its protocol. Until they are, no run is lost or resumed because it isn't listed.

--- a/sapphirewalk_core/src/coordinator/event.rs
+++ b/sapphirewalk_core/src/coordinator/event.rs
@@ -72,6 +72,9 @@
         running: Vec<ListedRun>,
         /// Ended runs that have not been acknowledged.
         ended: Vec<ListedEnd>,
+        /// Whether `ended` contains all of them; otherwise the later ones follow once these are
+        /// acknowledged.
+        complete: bool,
     },
     /// The worker has received a higher fencing token: another coordinator leads.
     Fenced,
--- a/sapphirewalk_core/src/coordinator/poll.rs
+++ b/sapphirewalk_core/src/coordinator/poll.rs
@@ -161,7 +161,11 @@
                 born_ms,
                 running,
                 ended,
-            } => self.on_poll_lists(worker, clock_ms, born_ms, &running, ended, now),
+                complete,
+            } => {
+                entry.lists_all_ends = complete;
+                self.on_poll_lists(worker, clock_ms, born_ms, &running, ended, now);
+            }
             PollAnswer::Missing | PollAnswer::Refused(_) | PollAnswer::OtherIncarnation => {
                 entry.failed_polls += 1;
                 if answer == PollAnswer::OtherIncarnation {
@@ -291,7 +295,8 @@
             entry.tasks.len()
         );
         self.log("worker_reborn", None, detail);
-        let polled_at = self.workers.get(worker).polled_at;
+        let entry = self.workers.get(worker);
+        let (polled_at, complete) = (entry.polled_at, entry.lists_all_ends);
         let (mut revoked, mut lost) = (Vec::new(), Vec::new());
         for slot in self.workers.get(worker).tasks.clone() {
             if self
@@ -313,9 +318,9 @@
                 TaskPhase::Starting | TaskPhase::Running if task.start_unanswered => {
                     revoked.push(slot);
                 }
-                // The new incarnation may have accepted the start after it had listed its runs. Its
-                // next list shows it.
-                TaskPhase::Running if !task.is_confirmed_before(polled_at) => {}
+                // The new incarnation may have accepted the start after it had listed its runs, or
+                // may not list its end yet. A later list shows it.
+                TaskPhase::Running if !complete || !task.is_confirmed_before(polled_at) => {}
                 _ => lost.push(slot),
             }
         }
@@ -621,6 +626,10 @@
         }
         self.end_trial(worker);
         self.workers.get_mut(worker).gauges = gauges;
+        if !self.workers.get(worker).lists_all_ends {
+            // Runs that are missing may have ended.
+            return;
+        }
         let polled_at = self.workers.get(worker).polled_at;
         let (mut unlisted, mut recorded) = (Vec::new(), Vec::new());
         for slot in self.workers.get(worker).tasks.clone() {
--- a/sapphirewalk_core/src/worker_registry.rs
+++ b/sapphirewalk_core/src/worker_registry.rs
@@ -155,6 +155,8 @@
     pub polling: bool,
     /// When the last poll was sent.
     pub polled_at: TimePoint,
+    /// The last answer to a poll listed all ends that aren't acknowledged.
+    pub lists_all_ends: bool,
     /// Longest time for which the worker may delay its answer to the last poll.
     pub poll_wait: TimeSpan,
     /// Earliest time of the next poll.
@@ -256,6 +258,7 @@
             unwritten_ends: Vec::new(),
             polling: false,
             polled_at: TimePoint::EPOCH,
+            lists_all_ends: true,
             poll_wait: TimeSpan::ZERO,
             next_poll: TimePoint::EPOCH,
             answered_at: TimePoint::EPOCH,
--- a/sapphirewalk_core/tests/coordinator/faults.rs
+++ b/sapphirewalk_core/tests/coordinator/faults.rs
@@ -94,6 +94,27 @@
     }
 }
 
+/// Guards against tasks that run again because the worker had more ends to list, after it was cut
+/// off, than one answer has room for.
+#[test]
+fn tasks_whose_ends_do_not_fit_one_list_run_once() {
+    for takeovers in [Vec::new(), vec![8_010]] {
+        let plan = FaultPlan {
+            partitions: vec![(0, 2_000, 8_000), (1, 2_000, 8_000)],
+            takeovers,
+            ..FaultPlan::default()
+        };
+        let mut simulation = ClusterSimulation::new(1, 2, plan);
+        simulation.most_listed_ends = 20;
+        let tasks = simulation::step(120, 100, 2_000, &[]);
+        simulation.submit(1_000, 1, "bulk", vec![tasks]);
+        simulation.run_until(30_000);
+        assert_eq!(simulation.violations, Vec::<String>::new());
+        assert_eq!(simulation.start_count(1), 120);
+        assert_eq!(simulation.committed_state(1), Some(JobState::Completed));
+    }
+}
+
 #[test]
 fn jobs_end_when_successors_take_over_from_running_leaders() {
     for seed in 100..130 {
--- a/sapphirewalk_core/tests/coordinator/fencing.rs
+++ b/sapphirewalk_core/tests/coordinator/fencing.rs
@@ -38,6 +38,7 @@
         born_ms,
         running: Vec::new(),
         ended: Vec::new(),
+        complete: true,
     };
     let event = Event::Polled {
         worker: target.worker,
--- a/sapphirewalk_core/tests/coordinator/late_starts.rs
+++ b/sapphirewalk_core/tests/coordinator/late_starts.rs
@@ -100,6 +100,7 @@
                         born_ms: BORN_MS,
                         running: Vec::new(),
                         ended: Vec::new(),
+                        complete: true,
                     },
                 };
                 self.coordinator.handle(event, self.now);
--- a/sapphirewalk_core/tests/coordinator/malformed.rs
+++ b/sapphirewalk_core/tests/coordinator/malformed.rs
@@ -101,6 +101,7 @@
             born_ms: self.number(),
             running,
             ended,
+            complete: true,
         }
     }
 
@@ -344,6 +345,7 @@
                             born_ms: 1,
                             running: running.collect(),
                             ended: Vec::new(),
+                            complete: true,
                         }
                     };
                     events.push(Event::Polled {
--- a/sapphirewalk_core/tests/coordinator/outdated_lists.rs
+++ b/sapphirewalk_core/tests/coordinator/outdated_lists.rs
@@ -195,6 +195,7 @@
             born_ms,
             running: running.collect(),
             ended: ended.collect(),
+            complete: true,
         },
     }
 }
--- a/sapphirewalk_core/tests/coordinator/repeated_stop.rs
+++ b/sapphirewalk_core/tests/coordinator/repeated_stop.rs
@@ -155,6 +155,7 @@
                     born_ms: 1,
                     running: running.collect(),
                     ended: Vec::new(),
+                    complete: true,
                 };
                 let answer = if self.silent[number] {
                     PollAnswer::Missing
--- a/sapphirewalk_core/tests/coordinator/simulation.rs
+++ b/sapphirewalk_core/tests/coordinator/simulation.rs
@@ -419,6 +419,8 @@
     /// How long the worker list still contains the former identifier of a worker that restarted, in
     /// milliseconds.
     pub former_id_ms: u64,
+    /// Number of ends that workers list at a time.
+    pub most_listed_ends: usize,
     /// Whether a poll's fencing token counts from its arrival instead of its answer.
     pub fences_on_arrival: bool,
     /// Runs that ended because their worker's lease did.
@@ -554,6 +556,7 @@
             longest_lease_ms: LONGEST_LEASE_MS,
             retention_ms: RETENTION_MS,
             former_id_ms: FORMER_ID_MS,
+            most_listed_ends: 500,
             fences_on_arrival: false,
             lapsed_runs: 0,
             leader_lag_ms: 0,
@@ -1519,11 +1522,13 @@
                         percent: run.percent(now_ms),
                         gauge: Some(gauge),
                     });
+                let most_ends = self.most_listed_ends;
                 let poll_answer = PollAnswer::Lists {
                     clock_ms,
                     born_ms: worker.born_ms,
                     running: running.collect(),
-                    ended: worker.ends.clone(),
+                    ended: worker.ends.iter().take(most_ends).cloned().collect(),
+                    complete: worker.ends.len() < most_ends,
                 };
                 answer_event(order, accepted, poll_answer)
             }
