Share the limits and workers of coordinator tests

Four test files had the same limits and, three of them, the same worker. The worker of fencing has room for tasks now, which that test doesn't ask for; no assertion changes.

--- a/sapphirewalk_core/tests/coordinator/fencing.rs
+++ b/sapphirewalk_core/tests/coordinator/fencing.rs
@@ -1,6 +1,5 @@
 //! Orders that a worker rejects because of a higher fencing token.
 
-use sapphirewalk_core::coordinator::CoordinatorLimits;
 use sapphirewalk_core::coordinator::Effect;
 use sapphirewalk_core::coordinator::Event;
 use sapphirewalk_core::coordinator::JobCoordinator;
@@ -10,10 +9,10 @@
 use sapphirewalk_core::job_spec::JobId;
 use sapphirewalk_core::job_spec::RunName;
 use sapphirewalk_core::job_spec::TaskName;
-use sapphirewalk_core::resource::ResourceVector;
 use sapphirewalk_core::time::TimePoint;
 use sapphirewalk_core::time::TimeSpan;
-use sapphirewalk_core::worker_registry::WorkerListing;
+
+use crate::fixture;
 
 const RUN: RunName = RunName {
     task: TaskName {
@@ -60,28 +59,8 @@
 #[test]
 fn only_a_token_of_another_leader_ends_a_leadership() {
     let mut now = TimePoint::from_millis(1_000_000);
-    let limits = CoordinatorLimits {
-        longest_lease: TimeSpan::from_secs(10),
-        retention: TimeSpan::from_secs(120),
-        harm_tolerance: TimeSpan::from_secs(4),
-        evacuation_bound: None,
-        service_lookahead: false,
-        unavailability_notice: TimeSpan::from_millis(5_500),
-    };
-    let mut coordinator = JobCoordinator::new(limits, 1, now);
-    let listing = WorkerListing {
-        id: "w0".to_owned(),
-        pool: "pool".to_owned(),
-        address: ([127, 0, 0, 1], 1_000).into(),
-        domain: "domain".to_owned(),
-        rack: "rack".to_owned(),
-        labels: Vec::new(),
-        capacity: ResourceVector::ZERO,
-        draining: false,
-        leaves_in: TimeSpan::ZERO,
-        born_ms: 0,
-    };
-    coordinator.set_workers(vec![listing], now);
+    let mut coordinator = JobCoordinator::new(fixture::limits(), 1, now);
+    coordinator.set_workers(vec![fixture::listing(0, 0)], now);
     let first = answer_poll(&mut coordinator, 1, now);
     now = now + TimeSpan::from_millis(200);
     answer_poll(&mut coordinator, 2, now);
--- a/sapphirewalk_core/tests/coordinator/late_starts.rs
+++ b/sapphirewalk_core/tests/coordinator/late_starts.rs
@@ -3,7 +3,6 @@
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use sapphirewalk_core::coordinator::CoordinatorLimits;
 use sapphirewalk_core::coordinator::Effect;
 use sapphirewalk_core::coordinator::Event;
 use sapphirewalk_core::coordinator::JobCoordinator;
@@ -13,11 +12,10 @@
 use sapphirewalk_core::job_registry::JobProgress;
 use sapphirewalk_core::job_spec::JobId;
 use sapphirewalk_core::job_spec::JobSpec;
-use sapphirewalk_core::resource::ResourceVector;
 use sapphirewalk_core::time::TimePoint;
 use sapphirewalk_core::time::TimeSpan;
-use sapphirewalk_core::worker_registry::WorkerListing;
 
+use crate::fixture;
 use crate::simulation;
 use crate::simulation::ClusterSimulation;
 use crate::simulation::FaultPlan;
@@ -41,15 +39,7 @@
 
 impl LeaderHarness {
     fn new(fence: u64, now: TimePoint, progress: Option<JobProgress>) -> Self {
-        let limits = CoordinatorLimits {
-            longest_lease: TimeSpan::from_secs(10),
-            retention: TimeSpan::from_secs(120),
-            harm_tolerance: TimeSpan::from_secs(4),
-            evacuation_bound: None,
-            service_lookahead: false,
-            unavailability_notice: TimeSpan::from_millis(5_500),
-        };
-        let mut coordinator = JobCoordinator::new(limits, fence, now);
+        let mut coordinator = JobCoordinator::new(fixture::limits(), fence, now);
         if let Some(progress) = progress {
             let records = RecoveryRecords {
                 jobs: vec![job()],
@@ -58,7 +48,10 @@
             };
             coordinator.restore(records, now);
         }
-        coordinator.set_workers(vec![listing(0), listing(1)], now);
+        coordinator.set_workers(
+            vec![fixture::listing(0, BORN_MS), fixture::listing(1, BORN_MS)],
+            now,
+        );
         Self {
             coordinator,
             now,
@@ -110,25 +103,6 @@
     }
 }
 
-fn listing(number: u16) -> WorkerListing {
-    WorkerListing {
-        id: format!("w{number}"),
-        pool: "pool".to_owned(),
-        address: ([127, 0, 0, 1], 1_000 + number).into(),
-        domain: "domain".to_owned(),
-        rack: "rack".to_owned(),
-        labels: Vec::new(),
-        capacity: ResourceVector {
-            cpu_millis: 16_000,
-            memory_mib: 64_000,
-            accelerators: 0,
-        },
-        draining: false,
-        leaves_in: TimeSpan::ZERO,
-        born_ms: BORN_MS,
-    }
-}
-
 /// A job of one task.
 fn job() -> JobRecord {
     JobRecord {
--- a/sapphirewalk_core/tests/coordinator/main.rs
+++ b/sapphirewalk_core/tests/coordinator/main.rs
@@ -9,6 +9,7 @@
 mod evacuation;
 mod faults;
 mod fencing;
+mod fixture;
 mod harm;
 mod job_lifecycle;
 mod lapsed_leases;
--- a/sapphirewalk_core/tests/coordinator/outdated_lists.rs
+++ b/sapphirewalk_core/tests/coordinator/outdated_lists.rs
@@ -1,7 +1,6 @@
 //! Lists of runs that were requested before the start of a run was answered, and acknowledgements of
 //! ends that a restarted worker would take for its own.
 
-use sapphirewalk_core::coordinator::CoordinatorLimits;
 use sapphirewalk_core::coordinator::Effect;
 use sapphirewalk_core::coordinator::Event;
 use sapphirewalk_core::coordinator::JobCoordinator;
@@ -16,11 +15,10 @@
 use sapphirewalk_core::job_spec::JobSpec;
 use sapphirewalk_core::job_spec::RunName;
 use sapphirewalk_core::job_spec::TaskName;
-use sapphirewalk_core::resource::ResourceVector;
 use sapphirewalk_core::time::TimePoint;
 use sapphirewalk_core::time::TimeSpan;
-use sapphirewalk_core::worker_registry::WorkerListing;
 
+use crate::fixture;
 use crate::simulation;
 
 const FIRST_RUN: RunName = RunName {
@@ -56,16 +54,8 @@
 impl RaceHarness {
     fn new() -> Self {
         let now = TimePoint::from_millis(1_000_000);
-        let limits = CoordinatorLimits {
-            longest_lease: TimeSpan::from_secs(10),
-            retention: TimeSpan::from_secs(120),
-            harm_tolerance: TimeSpan::from_secs(4),
-            evacuation_bound: None,
-            service_lookahead: false,
-            unavailability_notice: TimeSpan::from_millis(5_500),
-        };
         let mut harness = Self {
-            coordinator: JobCoordinator::new(limits, 1, now),
+            coordinator: JobCoordinator::new(fixture::limits(), 1, now),
             now,
             poll: None,
             start: None,
@@ -73,7 +63,9 @@
             ends: 0,
             orders: Vec::new(),
         };
-        harness.coordinator.set_workers(vec![listing()], now);
+        harness
+            .coordinator
+            .set_workers(vec![fixture::listing(0, FIRST_BORN_MS)], now);
         harness.advance(1);
         // The answer to the next poll stays under way.
         harness.answer_poll(FIRST_CLOCK_MS, FIRST_BORN_MS, &[]);
@@ -143,25 +135,6 @@
     }
 }
 
-fn listing() -> WorkerListing {
-    WorkerListing {
-        id: "w0".to_owned(),
-        pool: "pool".to_owned(),
-        address: ([127, 0, 0, 1], 1_000).into(),
-        domain: "domain".to_owned(),
-        rack: "rack".to_owned(),
-        labels: Vec::new(),
-        capacity: ResourceVector {
-            cpu_millis: 16_000,
-            memory_mib: 64_000,
-            accelerators: 0,
-        },
-        draining: false,
-        leaves_in: TimeSpan::ZERO,
-        born_ms: FIRST_BORN_MS,
-    }
-}
-
 fn polled(
     target: &OrderTarget,
     clock_ms: u64,
--- a/sapphirewalk_core/tests/coordinator/repeated_stop.rs
+++ b/sapphirewalk_core/tests/coordinator/repeated_stop.rs
@@ -1,7 +1,6 @@
 //! Stops that are sent again, and stops of runs that no task owns, under a budget of unavailable
 //! tasks. Two workers run one task each of a step that allows one to be unavailable.
 
-use sapphirewalk_core::coordinator::CoordinatorLimits;
 use sapphirewalk_core::coordinator::Effect;
 use sapphirewalk_core::coordinator::Event;
 use sapphirewalk_core::coordinator::JobCoordinator;
@@ -17,6 +16,7 @@
 use sapphirewalk_core::time::TimeSpan;
 use sapphirewalk_core::worker_registry::WorkerListing;
 
+use crate::fixture;
 use crate::simulation;
 
 const START_MS: u64 = 1_000_000;
@@ -56,16 +56,8 @@
     /// Both tasks have been at work for longer than the time of notice.
     fn new() -> Self {
         let now = TimePoint::from_millis(START_MS);
-        let limits = CoordinatorLimits {
-            longest_lease: TimeSpan::from_secs(10),
-            retention: TimeSpan::from_secs(120),
-            harm_tolerance: TimeSpan::from_secs(4),
-            evacuation_bound: None,
-            service_lookahead: false,
-            unavailability_notice: TimeSpan::from_millis(5_500),
-        };
         let mut harness = Self {
-            coordinator: JobCoordinator::new(limits, 1, now),
+            coordinator: JobCoordinator::new(fixture::limits(), 1, now),
             now,
             runs: [Vec::new(), Vec::new()],
             silent: [false; 2],
