--- a/sapphirewalk_core/tests/coordinator/main.rs
+++ b/sapphirewalk_core/tests/coordinator/main.rs
@@ -5,6 +5,7 @@
 mod availability;
 mod capacity;
 mod crashes;
+mod crossed_faults;
 mod dropped_queues;
 mod evacuation;
 mod faults;
