--- /dev/null
+++ b/review/fleet_3/src/cases.rs
@@ -0,0 +1,317 @@
+//! The cases: each plays its load and disruption, and judges one rule.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::sleep;
+
+use crate::fleet::Fleet;
+use crate::fleet::Job;
+use crate::record::Record;
+use crate::store::Store;
+use crate::worker::EventKind;
+use crate::worker::Kind;
+use crate::worker::Step;
+use crate::worker::Worker;
+use crate::worker::World;
+
+const ENTRIES: usize = 4;
+/// Bounds of the deployment.
+const CONTACT_MS: u64 = 3_000;
+const FINISH: Duration = Duration::from_secs(14);
+const IDLE_MS: u64 = 3_000;
+const RECOVERY_MS: u64 = 12_000;
+/// Longest time for which the site file lets all machines be without power.
+const POWER_LOSS: Duration = Duration::from_millis(9_500);
+/// A minion of the deployment: 16 cores and 62.5 GB.
+const PLAIN: Kind = Kind {
+    label: "a",
+    cpu: 16_000,
+    mem_mb: 62_500,
+};
+const OTHER: Kind = Kind {
+    label: "b",
+    ..PLAIN
+};
+
+/// Plays a case. Returns whether the rule was broken, none if there is no such case.
+pub async fn play(case: &str, trouble: bool, record: &Arc<Record>) -> Option<bool> {
+    match case {
+        "size" => Some(size(trouble, record).await),
+        "gang" => Some(gang(trouble, record).await),
+        "kind" => Some(kind(trouble, record).await),
+        "blame" => Some(blame(trouble, record).await),
+        _ => None,
+    }
+}
+
+async fn start(
+    record: &Arc<Record>,
+    checkpoint_chars: usize,
+    kinds: &[Kind],
+) -> (Fleet, Vec<Arc<Worker>>) {
+    let world = World::new(record.clone(), checkpoint_chars);
+    let (store, address) = Store::start(record.clone()).await;
+    let mut workers = Vec::new();
+    for (number, kind) in kinds.iter().enumerate() {
+        let (id, rack) = (format!("m-{number:02}"), format!("r1-{}", number / 8));
+        workers.push(Worker::start(&id, &rack, kind.clone(), &world, &store).await);
+    }
+    let fleet = Fleet::start(ENTRIES, &world, &store, address).await;
+    (fleet, workers)
+}
+
+/// A fixed sequence of numbers without a pattern.
+struct Random(u64);
+
+impl Random {
+    fn below(&mut self, limit: usize) -> usize {
+        self.0 = self
+            .0
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1_442_695_040_888_963_407);
+        (self.0 >> 33) as usize % limit
+    }
+}
+
+fn job_id(group: u64, number: u64) -> String {
+    let mixed = (group << 32 | number).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    format!("{mixed:016x}")
+}
+
+/// Jobs with checkpoints of 64 digits that fill most of the pool, beside small urgent jobs. All
+/// entry processes lose power for longer than leases last, so that all runs lapse.
+async fn size(trouble: bool, record: &Arc<Record>) -> bool {
+    let (fleet, workers) = start(record, 64, &vec![PLAIN; 66]).await;
+    let fleet = Arc::new(fleet);
+    let mut jobs = Vec::new();
+    for number in 0..95 {
+        let step = Step {
+            mem_mb: 280,
+            checkpointing: true,
+            ..Step::plain(130, 74, 40_000)
+        };
+        jobs.push(
+            fleet
+                .submit(&job_id(1, number), "casting-run", vec![step])
+                .await,
+        );
+    }
+    let clients = {
+        let fleet = fleet.clone();
+        tokio::spawn(async move {
+            let mut jobs = Vec::new();
+            for number in 0..60 {
+                let step = Step::plain(6, 1_600, 1_000);
+                jobs.push(
+                    fleet
+                        .submit(&job_id(2, number), "mould-preview", vec![step])
+                        .await,
+                );
+                sleep(Duration::from_millis(1_000)).await;
+            }
+            jobs
+        })
+    };
+    sleep(Duration::from_secs(15)).await;
+    let fault_ms = record.now_ms();
+    let mut back_ms = fault_ms;
+    if trouble {
+        fleet.lose_power(POWER_LOSS).await;
+        back_ms = record.now_ms();
+    }
+    jobs.extend(clients.await.expect("the clients don't fail"));
+    record.say("the traffic has ended");
+    sleep(FINISH).await;
+    let idle = find_idle(&fleet, &workers, &jobs).await;
+    let states = fleet.states(&jobs).await;
+    for (state, ids) in &states {
+        record.say(&format!("{} jobs are {state}", ids.len()));
+    }
+    record.say(&format!(
+        "{} accepted jobs have nothing running in an idle pool",
+        idle.len()
+    ));
+    let done = states.get("completed").cloned().unwrap_or_default();
+    let served = |jobs: &[&Job]| jobs.iter().filter(|job| done.contains(&job.id)).count();
+    let before: Vec<&Job> = jobs.iter().filter(|job| job.sent_ms < fault_ms).collect();
+    let late = jobs
+        .iter()
+        .filter(|job| job.sent_ms > back_ms + RECOVERY_MS);
+    let late: Vec<&Job> = late.collect();
+    let (served_before, served_late) = (served(&before), served(&late));
+    record.say(&format!(
+        "{served_before} of {} jobs sent before the fault are completed",
+        before.len()
+    ));
+    record.say(&format!(
+        "{served_late} of {} jobs sent over 12 s after the return are completed",
+        late.len()
+    ));
+    record.say(&format!(
+        "the store refused {} writes for their size; the largest that it took has {} bytes",
+        fleet.store.refused(),
+        fleet.store.largest()
+    ));
+    fleet.copy_log(&["store_lost", "leadership_"], 60);
+    let recovered = served_late * 4 >= late.len() || served_before * 4 < before.len();
+    !idle.is_empty() || !recovered
+}
+
+/// Accepted jobs that aren't completed and that have nothing running for 3 s, while under half of
+/// the pool is in use.
+async fn find_idle(fleet: &Fleet, workers: &[Arc<Worker>], jobs: &[Job]) -> Vec<Job> {
+    let states = fleet.states(jobs).await;
+    let is_open = |job: &&Job| {
+        let shown = |state: &str| states.get(state).is_some_and(|ids| ids.contains(&job.id));
+        job.accepted_ms.is_some() && !shown("completed") && !shown("failed") && !shown("cancelled")
+    };
+    let mut idle: Vec<Job> = jobs.iter().filter(is_open).cloned().collect();
+    let from = fleet.world.record.now_ms();
+    while fleet.world.record.now_ms() < from + IDLE_MS {
+        let running: Vec<String> = workers.iter().flat_map(|worker| worker.running()).collect();
+        idle.retain(|job| !running.iter().any(|task| task.starts_with(&job.id)));
+        let used: u64 = workers.iter().map(|worker| worker.used_cpu()).sum();
+        if used * 2 >= workers.len() as u64 * PLAIN.cpu {
+            return Vec::new();
+        }
+        sleep(Duration::from_millis(50)).await;
+    }
+    idle
+}
+
+/// Gangs whose tasks save checkpoints. One minion drains and leaves under each.
+async fn gang(trouble: bool, record: &Arc<Record>) -> bool {
+    let (fleet, workers) = start(record, 16, &vec![PLAIN; 16]).await;
+    let step = Step {
+        checkpointing: true,
+        gang: true,
+        ..Step::plain(4, 1_800, 12_000)
+    };
+    let job = fleet.submit(&job_id(3, 0), "casting-run", vec![step]).await;
+    sleep(Duration::from_millis(5_400)).await;
+    let mut calm_from = record.now_ms();
+    if trouble {
+        let host = workers.iter().find(|worker| !worker.running().is_empty());
+        if let Some(worker) = host {
+            worker.drain(Duration::from_secs(3)).await;
+        }
+        calm_from = record.now_ms();
+        record.say("one of 16 minions has been emptied and taken away");
+    }
+    sleep(Duration::from_secs(45)).await;
+    let alone_from = calm_from + CONTACT_MS + crate::worker::GANG_TIMEOUT_MS;
+    let events = fleet.world.events();
+    let alone = events
+        .iter()
+        .filter(|event| event.kind == EventKind::Ended("alone") && event.at_ms > alone_from);
+    let alone = alone.count();
+    let state = fleet.state(&job).await;
+    record.say(&format!(
+        "{alone} runs ended alone over 6 s after the disruption"
+    ));
+    record.say(&format!("the gang's job is {state}"));
+    alone > 0
+}
+
+/// Tasks that need label "a". Minions crash one at a time and start again as the other kind.
+async fn kind(trouble: bool, record: &Arc<Record>) -> bool {
+    let kinds: Vec<Kind> = (0..16)
+        .map(|n| if n % 2 == 0 { PLAIN } else { OTHER })
+        .collect();
+    let (fleet, workers) = start(record, 16, &kinds).await;
+    let fleet = Arc::new(fleet);
+    let clients = {
+        let fleet = fleet.clone();
+        tokio::spawn(async move {
+            for number in 0..400 {
+                let step = Step {
+                    label: Some("a"),
+                    ..Step::plain(6, 1_600, 1_000)
+                };
+                fleet
+                    .submit(&job_id(4, number), "mould-preview", vec![step])
+                    .await;
+                sleep(Duration::from_millis(100)).await;
+            }
+        })
+    };
+    for round in 0..8 {
+        sleep(Duration::from_secs(4)).await;
+        if trouble {
+            let worker = &workers[round * 2];
+            worker.crash();
+            sleep(Duration::from_millis(800)).await;
+            worker.restart(Some(OTHER)).await;
+            sleep(Duration::from_secs(2)).await;
+            // As many minions of each kind as before.
+            let worker = &workers[round * 2 + 1];
+            worker.crash();
+            sleep(Duration::from_millis(800)).await;
+            worker.restart(Some(PLAIN)).await;
+        }
+    }
+    clients.abort();
+    let events = fleet.world.events();
+    let wrong = events
+        .iter()
+        .filter(|event| matches!(event.kind, EventKind::Started(_)) && event.label != "a");
+    let wrong: Vec<_> = wrong.collect();
+    for event in &wrong {
+        record.line(&format!("without the label: {event:?}"));
+    }
+    record.say(&format!(
+        "{} starts on minions without the label",
+        wrong.len()
+    ));
+    !wrong.is_empty()
+}
+
+/// Lasting tasks, none of which harms its minion. Minions crash one at a time, in an order that
+/// doesn't depend on what runs there, and start again.
+async fn blame(trouble: bool, record: &Arc<Record>) -> bool {
+    let (fleet, workers) = start(record, 16, &vec![PLAIN; 16]).await;
+    let mut jobs = Vec::new();
+    for number in 0..12 {
+        let step = Step {
+            long_running: true,
+            ..Step::plain(6, 2_000, 400)
+        };
+        jobs.push(
+            fleet
+                .submit(&job_id(5, number), "anneal-watch", vec![step])
+                .await,
+        );
+    }
+    sleep(Duration::from_secs(6)).await;
+    let mut random = Random(20_261_207);
+    for _ in 0..50 {
+        if trouble {
+            let worker = &workers[random.below(workers.len())];
+            worker.crash();
+            sleep(Duration::from_millis(600)).await;
+            worker.restart(None).await;
+            sleep(Duration::from_millis(600)).await;
+        } else {
+            sleep(Duration::from_millis(1_200)).await;
+        }
+    }
+    sleep(Duration::from_secs(6)).await;
+    let states = fleet.states(&jobs).await;
+    for (state, ids) in &states {
+        record.say(&format!("{} jobs are {state}", ids.len()));
+    }
+    let mut failed_ends: HashMap<String, u32> = HashMap::new();
+    for event in fleet.world.events() {
+        if event.kind == EventKind::Ended("failed") {
+            *failed_ends.entry(event.task).or_default() += 1;
+        }
+    }
+    record.say(&format!(
+        "{} runs have ended failed",
+        failed_ends.values().sum::<u32>()
+    ));
+    fleet.copy_log(&["job_failed", "run_lost"], 2_000);
+    states.contains_key("failed") && failed_ends.is_empty()
+}
