--- a/review/fleet_3/src/record.rs
+++ b/review/fleet_3/src/record.rs
@@ -9,9 +9,9 @@
 use std::time::Instant;
 
 /// Most lines about runs; later runs are left out of the file.
-const MAX_RUN_LINES: u64 = 6_000;
+const MAX_RUN_LINES: u64 = 1_500;
 /// Most other lines.
-const MAX_LINES: u64 = 20_000;
+const MAX_LINES: u64 = 3_000;
 
 pub struct Record {
     begun_at: Instant,
