--- a/review/fleet_3/src/cases.rs
+++ b/review/fleet_3/src/cases.rs
@@ -35,6 +35,7 @@
 pub async fn play(case: &str, trouble: bool, record: &Arc<Record>) -> Option<bool> {
     match case {
         "images" => Some(images(trouble, record).await),
+        "memory" => Some(memory(trouble, record).await),
         "gang" => Some(gang(trouble, record).await),
         "kind" => Some(kind(trouble, record).await),
         _ => None,
@@ -146,6 +147,34 @@
     idle
 }
 
+/// Bulk jobs of one step that wait for room. They have as many tasks as the program accepts; without
+/// the trouble, as many as the site's mean.
+async fn memory(trouble: bool, record: &Arc<Record>) -> bool {
+    let (fleet, _workers) = start(record, &vec![PLAIN; 66]).await;
+    let fleet = Arc::new(fleet);
+    let count = if trouble { 1_500 } else { 8 };
+    let clients = {
+        let fleet = fleet.clone();
+        tokio::spawn(async move {
+            for number in 0..1_200 {
+                let fleet = fleet.clone();
+                tokio::spawn(async move {
+                    let step = Step::plain(count, 1_800, 2_200);
+                    fleet
+                        .submit(&job_id(14, number), "casting-run", vec![step])
+                        .await
+                });
+                sleep(Duration::from_millis(56)).await;
+            }
+        })
+    };
+    let kills = fleet.enforce_memory(Duration::from_secs(95)).await;
+    clients.abort();
+    record.say(&format!("kills of each process for its memory: {kills:?}"));
+    fleet.copy_log(&["leadership_", "process_started"], 40);
+    kills.iter().filter(|kills| **kills >= 3).count() >= 2
+}
+
 /// Gangs whose tasks save checkpoints. One minion drains and leaves under each.
 async fn gang(trouble: bool, record: &Arc<Record>) -> bool {
     let (fleet, workers) = start(record, &vec![PLAIN; 16]).await;
--- a/review/fleet_3/src/fleet.rs
+++ b/review/fleet_3/src/fleet.rs
@@ -13,6 +13,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
+use std::time::Instant;
 
 use serde_json::Value;
 use serde_json::json;
@@ -28,12 +29,17 @@
 const DEADLINE: Duration = Duration::from_millis(3_000);
 /// Attempts of a client to hand a job in.
 const TRIES: usize = 5;
+/// Memory of an entry machine of the deployment.
+const MEMORY_MB: u64 = 260;
+/// Time after which a process that was killed is started again.
+const RESTART_DELAY: Duration = Duration::from_millis(500);
 
 pub struct Fleet {
     pub store: Arc<Store>,
     pub world: Arc<World>,
     pub callers: Vec<SocketAddr>,
     children: Mutex<Vec<Child>>,
+    settings: Vec<PathBuf>,
     folder: PathBuf,
 }
 
@@ -71,6 +77,7 @@
         let mut callers = Vec::new();
         let mut ready = Vec::new();
         let mut children = Vec::new();
+        let mut settings = Vec::new();
         let addresses = free_addresses(4 * count);
         for (number, ports) in addresses.chunks(4).enumerate() {
             let document = json!({
@@ -78,7 +85,7 @@
                 "caller_address": ports[0], "ready_address": ports[1],
                 "peer_address": ports[2], "metrics_address": ports[3],
                 "store_address": address, "cpu_share": 0.25,
-                "limits": {"memory_mb": 260, "descriptors": 4_100},
+                "limits": {"memory_mb": MEMORY_MB, "descriptors": 4_100},
                 "bounds": {"longest_lease_ms": 10_000, "retention_s": 120,
                     "harm_tolerance_ms": 4_000, "rules_ms": 2_000,
                     "unavailability_notice_ms": 4_500, "row_bytes": store::ROW_BYTES,
@@ -87,6 +94,7 @@
             let path = folder.join(format!("frontend-{number}.json"));
             fs::write(&path, document.to_string()).expect("the temporary folder is writable");
             children.push(start_process(&path));
+            settings.push(path);
             callers.push(ports[0]);
             ready.push(ports[1]);
         }
@@ -95,6 +103,7 @@
             world: world.clone(),
             callers,
             children: Mutex::new(children),
+            settings,
             folder,
         };
         let mut waits = 0;
@@ -205,6 +214,38 @@
         }
     }
 
+    /// Does for some time what the platform does with a process that exceeds its memory: kills it, and
+    /// starts it again after a short delay. Returns how often each was killed.
+    pub async fn enforce_memory(&self, time: Duration) -> Vec<u32> {
+        let end = Instant::now() + time;
+        let mut kills = vec![0; self.settings.len()];
+        while Instant::now() < end {
+            for (number, settings) in self.settings.iter().enumerate() {
+                let over = {
+                    let mut children = self.children.lock().expect("not poisoned");
+                    let child = &mut children[number];
+                    let size = resident_kb(child);
+                    let over = size > MEMORY_MB * 1_024;
+                    if over {
+                        let _ended = child.kill();
+                        let _status = child.wait();
+                        let text = format!("process {number} has {size} kB and is killed");
+                        self.record().line(&text);
+                    }
+                    over
+                };
+                if over {
+                    kills[number] += 1;
+                    tokio::time::sleep(RESTART_DELAY).await;
+                    let child = start_process(settings);
+                    self.children.lock().expect("not poisoned")[number] = child;
+                }
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        kills
+    }
+
     fn kill(&self) {
         let mut children = self.children.lock().expect("not poisoned");
         for child in children.iter_mut() {
@@ -248,6 +289,14 @@
     })
 }
 
+/// Resident memory of a process in kB; 0 once it has ended.
+fn resident_kb(child: &Child) -> u64 {
+    let status = fs::read_to_string(format!("/proc/{}/status", child.id())).unwrap_or_default();
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+    let size = line.and_then(|line| line.split_whitespace().nth(1)?.parse().ok());
+    size.unwrap_or(0)
+}
+
 /// Free ports of a loopback address that other plays of a case don't use.
 fn free_addresses(count: usize) -> Vec<SocketAddr> {
     let id = std::process::id();
