--- a/review/fleet_3/src/worker.rs
+++ b/review/fleet_3/src/worker.rs
@@ -380,9 +380,11 @@
 
     fn note(&self, task: &str, attempt: u64, kind: EventKind) {
         let label = self.kind.lock().expect("not poisoned").label.to_owned();
+        // Job, occurrence, step and index with colons, so that a name can't be taken for an address.
+        let name = task.replace('.', ":");
         self.world
             .record
-            .run_line(&format!("{} {task}#{attempt} {kind:?}", self.id));
+            .run_line(&format!("{} {name}#{attempt} {kind:?}", self.id));
         self.world.events.lock().expect("not poisoned").push(Event {
             at_ms: self.world.record.now_ms(),
             label,
