Log what the end of a lease was reckoned from, and starts that cross incarnations

The log didn't show whether a lease counted as over too early because of a deadline on another clock, nor that a start took effect in an incarnation that it wasn't meant for. run_lost has the last clock reading, its age, the latest deadline and the end of a former leader's leases; worker_reborn has both clocks and the starts under way; start_crossed is new. No decision changes.

--- a/sapphirewalk_core/src/coordinator/crash.rs
+++ b/sapphirewalk_core/src/coordinator/crash.rs
@@ -119,20 +119,25 @@
             task.crash_history.record_crash(report)
         };
         task.record_loss(now);
-        let confirmed_ago = (task.confirmed_at > TimePoint::EPOCH)
-            .then(|| now.since(task.confirmed_at))
-            .map_or_else(|| "never".to_owned(), |age| age.to_string());
+        let confirmed_ago = age_of(task.confirmed_at, now);
         let entry = self.workers.get(worker);
         let survived = report
             .survived
             .map_or_else(|| "unknown".to_owned(), |span| span.to_string());
         let detail = format!(
             "run={run} worker={} was={:?} cause={} confirmed_ago={confirmed_ago} polled_ago={} \
-             survived={survived} new_beside={} common={} proven={} settled={} crashes={} blamed={}",
+             clock_ms={} read_ago={} lease_end_ms={} former_leases_ended_ago={} survived={survived} \
+             new_beside={} common={} proven={} settled={} crashes={} blamed={}",
             entry.listing.id,
             task.phase,
             cause.as_str(),
             now.since(entry.polled_at),
+            entry.clock.map_or(0, |clock| clock.worker_ms),
+            entry
+                .clock
+                .map_or(TimeSpan::ZERO, |clock| now.since(clock.at)),
+            entry.lease_end_ms,
+            age_of(entry.former_leases_until, now),
             report.new_beside,
             report.common,
             report.proven,
@@ -314,6 +319,14 @@
     }
 }
 
+/// Time since `at` for the log; `never` for the epoch.
+fn age_of(at: TimePoint, now: TimePoint) -> String {
+    if at == TimePoint::EPOCH {
+        return "never".to_owned();
+    }
+    now.since(at).to_string()
+}
+
 /// Whether a loss proves that the worker has ended. A silent worker whose leases are over may be cut
 /// off, whether or not the platform lists it.
 const fn is_proven(task: &TaskEntry, entry: &WorkerEntry, cause: LossCause) -> bool {
--- a/sapphirewalk_core/src/coordinator/poll.rs
+++ b/sapphirewalk_core/src/coordinator/poll.rs
@@ -221,7 +221,7 @@
         if restarted {
             let listed = running.iter().map(|listed| listed.run);
             let listed: Vec<RunName> = listed.chain(ended.iter().map(|end| end.run)).collect();
-            self.on_new_incarnation(worker, born_ms, &listed, now);
+            self.on_new_incarnation(worker, born_ms, clock_ms, &listed, now);
         }
         let entry = self.workers.get_mut(worker);
         if other_incarnation {
@@ -284,15 +284,22 @@
         &mut self,
         worker: WorkerSlot,
         born_ms: u64,
+        clock_ms: u64,
         listed: &[RunName],
         now: TimePoint,
     ) {
         let entry = self.workers.get(worker);
+        let starts = entry.tasks.iter().filter_map(|slot| self.jobs.task(*slot));
+        let starts = starts.filter(|task| task.phase == TaskPhase::Starting);
         let detail = format!(
-            "worker={} was_born_ms={} born_ms={born_ms} tasks={}",
+            "worker={} was_born_ms={} born_ms={born_ms} tasks={} starts={} was_clock_ms={} \
+             clock_ms={clock_ms} lease_end_ms={}",
             entry.listing.id,
             entry.born_ms,
-            entry.tasks.len()
+            entry.tasks.len(),
+            starts.count(),
+            entry.alive_ms,
+            entry.lease_end_ms
         );
         self.log("worker_reborn", None, detail);
         let entry = self.workers.get(worker);
@@ -590,6 +597,7 @@
             if let Some(value) = listed.gauge {
                 gauges.push(TaskGauge { slot, value });
             }
+            self.log_crossed_start(worker, slot, listed.run);
             let job_ended = self.has_job_ended(slot.job);
             let Some(task) = self.jobs.task_mut(slot) else {
                 continue;
@@ -663,6 +671,24 @@
         }
     }
 
+    /// Logs a run that a worker lists for the first time although its start was meant for another
+    /// incarnation.
+    fn log_crossed_start(&mut self, worker: WorkerSlot, slot: TaskSlot, run: RunName) {
+        let entry = self.workers.get(worker);
+        let Some(task) = self.jobs.task(slot) else {
+            return;
+        };
+        let crossed = task.worker_born_ms != 0 && task.worker_born_ms != entry.born_ms;
+        if !crossed || task.phase == TaskPhase::Running {
+            return;
+        }
+        let detail = format!(
+            "run={run} worker={} meant_for_born_ms={} born_ms={} deadline_ms={} clock_ms={}",
+            entry.listing.id, task.worker_born_ms, entry.born_ms, task.deadline_ms, entry.alive_ms
+        );
+        self.warn("start_crossed", Some(run.task.job), detail);
+    }
+
     /// Whether a run that a former coordinator recorded, and that its worker doesn't list, may start
     /// there.
     fn may_resume(&self, slot: TaskSlot, worker: WorkerSlot, now: TimePoint) -> bool {
