Test restarts of workers under their identifiers, which two tests show to fail

The stand-in of a worker can restart under its identifier, and grants at most the longest lease, as the platform states.

--- a/sapphirewalk/tests/entry/main.rs
+++ b/sapphirewalk/tests/entry/main.rs
@@ -14,5 +14,6 @@
 #[path = "../../../platform/tests/odd/generator.rs"]
 mod odd_generator;
 mod outdated_lists;
+mod restarted_workers;
 mod retention;
 mod store;
--- a/sapphirewalk_core/tests/coordinator/main.rs
+++ b/sapphirewalk_core/tests/coordinator/main.rs
@@ -11,6 +11,7 @@
 mod faults;
 mod fencing;
 mod fixture;
+mod former_incarnations;
 mod harm;
 mod job_lifecycle;
 mod lapsed_leases;
