Send orders only to the incarnation that they are meant for

Cause: an order names its worker by an identifier that a restart keeps. A start that was sent before the leader knew of the restart reached the next incarnation on a new connection. Its deadline was on the former clock; where that was ahead, the worker granted its longest lease, 10 s, while the leader and its successor counted with the 8 s that they grant. An acknowledgement for a former incarnation discarded ends of the next one in the same way.

Leaders forget deadlines on a former clock, and count on the longest lease from the answer that shows a restart, since a call may have been under way for longer.

--- a/sapphirewalk_core/src/coordinator/commands.rs
+++ b/sapphirewalk_core/src/coordinator/commands.rs
@@ -4,6 +4,7 @@
 use crate::coordinator::JobCoordinator;
 use crate::coordinator::OrderAnswer;
 use crate::coordinator::RunStage;
+use crate::coordinator::crash::LossCause;
 use crate::coordinator::evacuation::StartObstacle;
 use crate::coordinator::poll;
 use crate::job_registry::TaskPhase;
@@ -100,7 +101,8 @@
                 task.start_unconfirmed = true;
                 task.start_unanswered = true;
                 if restarted {
-                    self.revoke_starts(&[slot], born_ms, now);
+                    let reports = self.crash_reports(worker, &[slot], LossCause::Reborn);
+                    self.revoke_starts(&reports, born_ms, now);
                     return;
                 }
                 self.quarantine(worker, MISSING_QUARANTINE, "start_missing", now);
@@ -286,9 +288,11 @@
         let new_deadline = entry
             .clock_at(now)
             .map_or(0, |clock| clock + span.as_millis());
-        // A resent start keeps its deadline, so that the wait for a silent worker's leases is
-        // bounded.
-        let sent_deadline = self.jobs.task(slot).map_or(0, |task| task.deadline_ms);
+        // A start that is sent again to the same incarnation keeps its deadline, so that the wait for a
+        // silent worker's leases is bounded.
+        let sent = self.jobs.task(slot);
+        let sent = sent.filter(|task| task.worker_born_ms == entry.born_ms);
+        let sent_deadline = sent.map_or(0, |task| task.deadline_ms);
         let deadline_ms = if sent_deadline > 0 {
             sent_deadline
         } else {
--- a/sapphirewalk_core/src/coordinator/crash.rs
+++ b/sapphirewalk_core/src/coordinator/crash.rs
@@ -151,11 +151,13 @@
 
     /// Revokes starts without an answer on a worker that has restarted since they were sent: the
     /// start may have crashed it, and a late copy may still reach the new incarnation.
-    pub(super) fn revoke_starts(&mut self, slots: &[TaskSlot], born_ms: u64, now: TimePoint) {
-        let Some(worker) = slots.first().and_then(|slot| self.jobs.task(*slot)?.worker) else {
-            return;
-        };
-        for (slot, report) in self.crash_reports(worker, slots, LossCause::Reborn) {
+    pub(super) fn revoke_starts(
+        &mut self,
+        reports: &[(TaskSlot, CrashReport)],
+        born_ms: u64,
+        now: TimePoint,
+    ) {
+        for (slot, report) in reports.iter().copied() {
             let Some(task) = self.jobs.task_mut(slot) else {
                 continue;
             };
@@ -191,7 +193,7 @@
     }
 
     /// Some of the runs on a worker, and what is known about its loss for each of them.
-    fn crash_reports(
+    pub(super) fn crash_reports(
         &self,
         worker: WorkerSlot,
         slots: &[TaskSlot],
--- a/sapphirewalk_core/src/coordinator/event.rs
+++ b/sapphirewalk_core/src/coordinator/event.rs
@@ -214,6 +214,10 @@
     pub id: String,
     /// Address at which the worker accepts orders.
     pub address: net::SocketAddr,
+    /// Start of the incarnation that the order is meant for, in Unix ms; 0 if none is known. The order
+    /// must not reach another one: its deadline is on this one's clock, its acknowledgement counts this
+    /// one's ends, and another one may know no fencing token.
+    pub born_ms: u64,
     /// Fencing token for this worker: the coordinator's own, with the number of ended incarnations
     /// of the worker in its low bits.
     pub fence: u64,
--- a/sapphirewalk_core/src/coordinator/mod.rs
+++ b/sapphirewalk_core/src/coordinator/mod.rs
@@ -637,6 +637,7 @@
             worker,
             id: entry.listing.id.clone(),
             address: entry.listing.address,
+            born_ms: entry.born_ms,
             fence: self.worker_fence(worker),
         }
     }
--- a/sapphirewalk_core/src/coordinator/poll.rs
+++ b/sapphirewalk_core/src/coordinator/poll.rs
@@ -231,10 +231,9 @@
             entry.unwritten_ends.clear();
             entry.clock = None;
             entry.alive_ms = 0;
-            // Starts in flight may still reach the new incarnation, so their deadlines count as
-            // leases on its clock.
-            let starts = entry.tasks.iter().filter_map(|slot| self.jobs.task(*slot));
-            entry.lease_end_ms = starts.map(|task| task.deadline_ms).max().unwrap_or(0);
+            // All deadlines so far were on the clock of the former incarnation, and none has reached
+            // this one.
+            entry.lease_end_ms = 0;
         }
         let reading = ClockReading {
             worker_ms: clock_ms,
@@ -331,11 +330,17 @@
                 _ => lost.push(slot),
             }
         }
-        self.revoke_starts(&revoked, born_ms, now);
+        let reports = self.crash_reports(worker, &revoked, LossCause::Reborn);
         self.lose_runs(worker, &lost, LossCause::Reborn, now);
+        // A call that was under way for seconds, or one of a former coordinator, may have granted the
+        // longest lease to this incarnation, which has received this coordinator's token only now.
+        let longest_lease = self.limits.longest_lease;
         let entry = self.workers.get_mut(worker);
-        entry.former_leases_until = TimePoint::EPOCH;
+        entry.former_leases_until = now + longest_lease.scale(worker_registry::SLOW_CLOCK_FACTOR);
         entry.ended_incarnations += 1;
+        // Stops are meant for the present incarnation.
+        entry.born_ms = born_ms;
+        self.revoke_starts(&reports, born_ms, now);
     }
 
     /// Handles answers of another worker at the address. The previous worker has ended, and its
