--- a/sapphirewalk_core/src/coordinator/poll.rs
+++ b/sapphirewalk_core/src/coordinator/poll.rs
@@ -676,21 +676,25 @@
         }
     }
 
-    /// Logs a run that a worker lists for the first time although its start was meant for another
-    /// incarnation.
+    /// Logs a run that a worker lists although its start was meant for another incarnation.
     fn log_crossed_start(&mut self, worker: WorkerSlot, slot: TaskSlot, run: RunName) {
         let entry = self.workers.get(worker);
-        let Some(task) = self.jobs.task(slot) else {
+        let Some(task) = self.jobs.task_mut(slot) else {
             return;
         };
-        let crossed = task.worker_born_ms != 0 && task.worker_born_ms != entry.born_ms;
-        if !crossed || task.phase == TaskPhase::Running {
+        if task.worker_born_ms == 0 || task.worker_born_ms == entry.born_ms {
             return;
         }
         let detail = format!(
-            "run={run} worker={} meant_for_born_ms={} born_ms={} deadline_ms={} clock_ms={}",
-            entry.listing.id, task.worker_born_ms, entry.born_ms, task.deadline_ms, entry.alive_ms
+            "run={run} worker={} was={:?} meant_for_born_ms={} born_ms={} deadline_ms={} clock_ms={}",
+            entry.listing.id,
+            task.phase,
+            task.worker_born_ms,
+            entry.born_ms,
+            task.deadline_ms,
+            entry.alive_ms
         );
+        task.worker_born_ms = entry.born_ms;
         self.warn("start_crossed", Some(run.task.job), detail);
     }
 
