Count a start without an answer as the cause of one crash at most

Cause: the start was revoked in each next incarnation until a stop was answered, and each of these restarts counted as a crash under the task. Only the incarnation that the start was meant for can have crashed because of it.

Evidence: a_start_without_an_answer_counts_as_the_cause_of_one_crash_at_most failed before (the job was Failed), and passes.

--- a/sapphirewalk_core/src/coordinator/crash.rs
+++ b/sapphirewalk_core/src/coordinator/crash.rs
@@ -161,9 +161,15 @@
             let Some(task) = self.jobs.task_mut(slot) else {
                 continue;
             };
-            let verdict = task.crash_history.record_crash(report);
+            // Only the incarnation that the start was meant for can have crashed because of it.
+            let verdict = if task.start_revoked {
+                CrashVerdict::Retry
+            } else {
+                task.crash_history.record_crash(report)
+            };
             task.phase = TaskPhase::Running;
             task.start_unconfirmed = true;
+            task.start_revoked = true;
             task.worker_born_ms = born_ms;
             self.mark_dirty(slot.job);
             self.order_stop(slot, "reborn");
--- a/sapphirewalk_core/src/coordinator/mod.rs
+++ b/sapphirewalk_core/src/coordinator/mod.rs
@@ -653,6 +653,7 @@
         task.not_before = now + delay;
         task.stop_ordered = false;
         task.start_unconfirmed = false;
+        task.start_revoked = false;
         task.progress = RunProgress::default();
         task.at_work_since = None;
         if let Some(job) = self.jobs.get_mut(slot.job) {
--- a/sapphirewalk_core/src/job_registry.rs
+++ b/sapphirewalk_core/src/job_registry.rs
@@ -164,6 +164,9 @@
     /// Some start of the present run got no answer. Stays set for the run: a delayed copy may reach
     /// even a later incarnation of the worker.
     pub start_unanswered: bool,
+    /// The worker has restarted since the start of the present run was sent, and was ordered to stop
+    /// the run, which its present incarnation hasn't confirmed.
+    pub start_revoked: bool,
     /// A stop of the present run was sent.
     pub stop_ordered: bool,
     /// The run is stopped to make room for more urgent work, which delays the next run.
@@ -350,6 +353,7 @@
     /// Records an answer of the worker that confirms the present run, by the worker's clock in ms.
     pub fn confirm_run(&mut self, clock_ms: u64, now: TimePoint) {
         self.start_unconfirmed = false;
+        self.start_revoked = false;
         self.confirmed_at = now;
         if self.begun_ms == 0 {
             self.begun_ms = clock_ms.max(1);
--- a/sapphirewalk_core/tests/coordinator/outdated_lists.rs
+++ b/sapphirewalk_core/tests/coordinator/outdated_lists.rs
@@ -11,6 +11,7 @@
 use sapphirewalk_core::coordinator::OrderTarget;
 use sapphirewalk_core::coordinator::PollAnswer;
 use sapphirewalk_core::coordinator::RunEnd;
+use sapphirewalk_core::job_registry::JobState;
 use sapphirewalk_core::job_spec::JobId;
 use sapphirewalk_core::job_spec::JobSpec;
 use sapphirewalk_core::job_spec::RunName;
@@ -286,3 +287,27 @@
     harness.advance(200);
     assert_eq!(harness.acked, 0);
 }
+
+/// Guards against a job that is given up for crashes of a worker that never had its run: only the
+/// first of the incarnations can have received the start.
+#[test]
+fn a_start_without_an_answer_counts_as_the_cause_of_one_crash_at_most() {
+    let mut harness = RaceHarness::new();
+    let target = harness.start.take().expect("the start was sent");
+    let event = Event::Started {
+        worker: target.worker,
+        fence: target.fence,
+        run: FIRST_RUN,
+        answer: OrderAnswer::Missing,
+    };
+    harness.coordinator.handle(event, harness.now);
+    for restart in 0..8 {
+        // Each incarnation is up for long enough to count as sound.
+        for clock_ms in [800_000, 805_000] {
+            harness.advance(5_000);
+            harness.answer_poll(clock_ms, SECOND_BORN_MS + restart * 10_000, &[]);
+        }
+    }
+    let state = harness.coordinator.committed_state(FIRST_RUN.task.job);
+    assert_eq!(state, Some(JobState::Queued));
+}
