Let the soak of restarted workers begin with a takeover

With a leader that has one connection to each worker, starts reach the next incarnation on new ones.

--- a/sapphirewalk/tests/entry/restarted_workers.rs
+++ b/sapphirewalk/tests/entry/restarted_workers.rs
@@ -15,7 +15,7 @@
 const ROUNDS: u64 = 3;
 const TASKS: u32 = 24;
 /// Seeds of the soak, from the first; the variable sets another number for longer runs.
-const SOAK_SEEDS: u64 = 3;
+const SOAK_SEEDS: u64 = 4;
 const SOAK_SEEDS_VARIABLE: &str = "SAPPHIREWALK_SOAK_SEEDS";
 /// Duration of a run that the soak's jobs outlast, in milliseconds.
 const LONG_RUN_MS: u64 = 600_000;
@@ -72,8 +72,8 @@
 
 /// The faults of one round, each with its time in milliseconds, in their order.
 fn draw_faults(rng: &mut ChaCha8Rng) -> Vec<(u64, SoakFault)> {
-    let restart_ms = rng.random_range(200..400);
-    let cut_ms = restart_ms + rng.random_range(500..2_600);
+    let restart_ms = rng.random_range(1_500..2_500);
+    let cut_ms = restart_ms + rng.random_range(300..2_600);
     let mut faults = vec![
         (restart_ms, SoakFault::Restart),
         (cut_ms, SoakFault::CutOff),
@@ -83,7 +83,11 @@
         // The restart before it is then never noticed.
         faults.push((restart_ms + 100, SoakFault::Restart));
     }
-    if rng.random_bool(0.6) {
+    if rng.random_bool(0.7) {
+        // The next leader has only one connection to each worker when that restarts.
+        faults.push((rng.random_range(0..500), SoakFault::KillLeader));
+    }
+    if rng.random_bool(0.4) {
         let kill_ms = rng.random_range(restart_ms..cut_ms + 300);
         faults.push((kill_ms, SoakFault::KillLeader));
     }
@@ -102,10 +106,13 @@
     let mut clock_ms = CLOCK_MS;
     for seed in 0..seeds {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
-        let mut faults = draw_faults(&mut rng).into_iter().peekable();
+        let faults = draw_faults(&mut rng);
+        let restarts = faults.iter();
+        let mut restarts = restarts.filter(|(_, fault)| matches!(fault, SoakFault::Restart));
+        let mut next_submission_ms = restarts.next().map_or(0, |(at_ms, _)| *at_ms);
+        let mut faults = faults.into_iter().peekable();
         let first_job = FIRST_JOB + 100 + seed * SOAK_JOBS;
         let mut jobs = first_job..first_job + SOAK_JOBS;
-        let mut next_submission_ms = 0;
         let begun_at = time::Instant::now();
         while let Some((at_ms, fault)) = faults.peek().copied() {
             let elapsed_ms = u64::try_from(begun_at.elapsed().as_millis()).expect("a short time");
