Wait for late leases of restarted workers at successors too

A call that is carried out seconds late may still give the next incarnation of its worker the longest lease. The wait for it began only at the leader that saw the restart, and predecessor_ended took it back.

Change: the end of such leases is a value of its own, which the end of a predecessor doesn't shorten. A successor counts on it where its first answer comes from another incarnation than the one that runs are recorded on.

With the parts of the change switched off one by one, late_orders_to_a_restarted_worker_..., late_orders_of_a_predecessor_to_... and a_run_of_a_restarted_worker_that_falls_silent_... fail; all pass now. The model drops orders under way at a restart, as connections do; crossing_span lets late ones cross again.

--- a/sapphirewalk_core/src/coordinator/crash.rs
+++ b/sapphirewalk_core/src/coordinator/crash.rs
@@ -137,7 +137,7 @@
                 .clock
                 .map_or(TimeSpan::ZERO, |clock| now.since(clock.at)),
             entry.lease_end_ms,
-            age_of(entry.former_leases_until, now),
+            age_of(entry.former_leases_until.max(entry.late_leases_until), now),
             report.new_beside,
             report.common,
             report.proven,
--- a/sapphirewalk_core/src/coordinator/poll.rs
+++ b/sapphirewalk_core/src/coordinator/poll.rs
@@ -223,6 +223,12 @@
             let listed: Vec<RunName> = listed.chain(ended.iter().map(|end| end.run)).collect();
             self.on_new_incarnation(worker, born_ms, clock_ms, &listed, now);
         }
+        if other_incarnation && (restarted || self.has_runs_of_others(worker, born_ms)) {
+            let longest_lease = self.limits.longest_lease;
+            let lease_span = longest_lease.scale(worker_registry::SLOW_CLOCK_FACTOR);
+            let entry = self.workers.get_mut(worker);
+            entry.late_leases_until = now + lease_span + worker_registry::LEASE_MARGIN;
+        }
         let entry = self.workers.get_mut(worker);
         if other_incarnation {
             entry.born_ms = born_ms;
@@ -277,6 +283,13 @@
         self.acknowledge_ends(worker, now);
     }
 
+    /// Whether runs are recorded on other incarnations of a worker than the one that began at `born_ms`.
+    fn has_runs_of_others(&self, worker: WorkerSlot, born_ms: u64) -> bool {
+        let tasks = self.workers.get(worker).tasks.iter();
+        let mut tasks = tasks.filter_map(|slot| self.jobs.task(*slot));
+        tasks.any(|task| task.worker_born_ms != 0 && task.worker_born_ms != born_ms)
+    }
+
     /// Handles a new incarnation of a worker: runs that it does not list have ended with the old
     /// one, unless they were confirmed since the list was requested.
     fn on_new_incarnation(
@@ -332,11 +345,8 @@
         }
         let reports = self.crash_reports(worker, &revoked, LossCause::Reborn);
         self.lose_runs(worker, &lost, LossCause::Reborn, now);
-        // A call that was under way for seconds, or one of a former coordinator, may have granted the
-        // longest lease to this incarnation, which has received this coordinator's token only now.
-        let longest_lease = self.limits.longest_lease;
         let entry = self.workers.get_mut(worker);
-        entry.former_leases_until = now + longest_lease.scale(worker_registry::SLOW_CLOCK_FACTOR);
+        entry.former_leases_until = TimePoint::EPOCH;
         entry.ended_incarnations += 1;
         // Stops are meant for the present incarnation.
         entry.born_ms = born_ms;
--- a/sapphirewalk_core/src/worker_registry.rs
+++ b/sapphirewalk_core/src/worker_registry.rs
@@ -22,7 +22,7 @@
 /// Most time that may pass for each unit of time on a worker's clock; the platform guarantees it.
 pub const SLOW_CLOCK_FACTOR: f64 = 1.02;
 /// Added to the end of a lease before it counts as expired; covers the granularity of clocks.
-const LEASE_MARGIN: TimeSpan = TimeSpan::from_millis(50);
+pub const LEASE_MARGIN: TimeSpan = TimeSpan::from_millis(50);
 
 /// Speed limit of an unthrottled best-effort task, in percent of full speed.
 pub const FULL_PACE: u32 = 100;
@@ -132,6 +132,9 @@
     pub lease_end_ms: u64,
     /// Latest possible end of leases granted by a former coordinator.
     pub former_leases_until: TimePoint,
+    /// Latest possible end of leases that the present incarnation took from calls for an earlier one,
+    /// which may be carried out seconds late.
+    pub late_leases_until: TimePoint,
     /// Tasks placed on the worker; sorted.
     pub tasks: Vec<TaskSlot>,
     /// A task that may crash the worker. Nothing else starts here while its run is new.
@@ -248,6 +251,7 @@
             clock: None,
             lease_end_ms: 0,
             former_leases_until: TimePoint::EPOCH,
+            late_leases_until: TimePoint::EPOCH,
             tasks: Vec::new(),
             trial: None,
             used: ResourceVector::ZERO,
@@ -303,10 +307,9 @@
 
     /// When every lease on the worker has expired, whoever granted it and however slow its clock.
     pub fn leases_expired_at(&self) -> TimePoint {
+        let other_leases = self.former_leases_until.max(self.late_leases_until);
         let own_leases = self.own_leases_expired_at();
-        own_leases.map_or(self.former_leases_until, |own_leases| {
-            own_leases.max(self.former_leases_until)
-        })
+        own_leases.map_or(other_leases, |own_leases| own_leases.max(other_leases))
     }
 
     /// When every lease that this coordinator granted has expired; none before an answer of the
--- a/sapphirewalk_core/tests/coordinator/outdated_lists.rs
+++ b/sapphirewalk_core/tests/coordinator/outdated_lists.rs
@@ -50,6 +50,8 @@
     ends: u64,
     /// Starts and stops that were ordered since.
     orders: Vec<String>,
+    /// Number of runs that were counted as lost.
+    losses: usize,
 }
 
 impl RaceHarness {
@@ -63,6 +65,7 @@
             acked: 0,
             ends: 0,
             orders: Vec::new(),
+            losses: 0,
         };
         harness
             .coordinator
@@ -108,6 +111,7 @@
                         self.poll = Some(target);
                         self.acked = acked;
                     }
+                    Effect::Log(record) if record.event == "run_lost" => self.losses += 1,
                     _ => {}
                 }
             }
@@ -311,3 +315,22 @@
     let state = harness.coordinator.committed_state(FIRST_RUN.task.job);
     assert_eq!(state, Some(JobState::Queued));
 }
+
+/// Guards against deadlines on the clock of a former incarnation that count as leases of the next one,
+/// whose clock is behind: its run would keep its task for hours after the worker is cut off.
+#[test]
+fn a_run_of_a_restarted_worker_that_falls_silent_is_repeated_after_its_lease() {
+    let mut harness = RaceHarness::new();
+    harness.accept_start(FIRST_CLOCK_MS + 100);
+    harness.answer_poll(FIRST_CLOCK_MS + 110, FIRST_BORN_MS, &[FIRST_RUN]);
+    harness.advance(10);
+    harness.answer_poll(100, SECOND_BORN_MS, &[FIRST_RUN]);
+    harness.advance(60);
+    harness.answer_poll(170, SECOND_BORN_MS, &[FIRST_RUN]);
+    harness.advance(10);
+    // Its lease of 8 s, and the longest one, of 10 s, on a slow clock.
+    harness.advance(7_900);
+    assert_eq!(harness.losses, 0);
+    harness.advance(3_000);
+    assert_eq!(harness.losses, 1);
+}
--- a/sapphirewalk_core/tests/coordinator/simulation.rs
+++ b/sapphirewalk_core/tests/coordinator/simulation.rs
@@ -117,6 +117,9 @@
 pub struct FaultPlan {
     /// Share of orders, polls excepted, that get no answer and are executed 2 to 12 s later.
     pub late_orders: f64,
+    /// Time in milliseconds after which late orders are executed, from and to, even if their worker has
+    /// restarted meanwhile; none if it loses them then.
+    pub crossing_span: Option<(u64, u64)>,
     /// Share of orders that are executed and whose answer is lost.
     pub lost_answers: f64,
     /// Share of answers that arrive 4 to 400 ms later than others.
@@ -490,6 +493,15 @@
         }
     }
 
+    fn target_mut(&mut self) -> &mut OrderTarget {
+        match self {
+            Self::Start { target, .. }
+            | Self::Stop { target, .. }
+            | Self::Poll { target, .. }
+            | Self::Pace { target, .. } => target,
+        }
+    }
+
     /// Time after which the order counts as unanswered, beyond the wait of a poll.
     fn timeout_ms(&self) -> u64 {
         match self {
@@ -809,11 +821,15 @@
                 late,
                 born_ms,
             } => {
-                // A worker that has restarted since then has lost its delayed orders, and its
-                // connections.
-                if self.workers[worker].born_ms == born_ms {
+                let worker_born_ms = self.workers[worker].born_ms;
+                if worker_born_ms == born_ms {
+                    self.deliver(leader, worker, order, late);
+                } else if late && self.plan.crossing_span.is_some() {
+                    let mut order = order;
+                    order.target_mut().born_ms = worker_born_ms;
                     self.deliver(leader, worker, order, late);
                 } else if !late {
+                    // The restart has ended the connection that the order was sent on.
                     let at = self.now_ms + order.timeout_ms();
                     let event = unanswered(&order);
                     self.schedule(at, Action::Answer { leader, event });
@@ -1213,7 +1229,8 @@
         let born_ms = self.workers[worker].born_ms;
         let late = !matches!(order, Order::Poll { .. }) && self.draw_fault(self.plan.late_orders);
         if late {
-            let at = self.now_ms + self.rng.random_range(2_000..12_000);
+            let (from, to) = self.plan.crossing_span.unwrap_or((2_000, 12_000));
+            let at = self.now_ms + self.rng.random_range(from..to);
             let unanswered = unanswered(&order);
             let deliver = Action::Deliver {
                 leader,
