Add the margin of lease ends to those that a successor assumes

A deadline is computed from a clock reading that may be 2.2 s old, on a clock that may be 2% slow, so a lease can end some 8.21 s after its grant, where a successor counted with 8.16 s. By calculation; no test or run has shown it.

--- a/sapphirewalk_core/src/coordinator/recover.rs
+++ b/sapphirewalk_core/src/coordinator/recover.rs
@@ -160,7 +160,7 @@
     /// Latest expiry of a lease that is granted at `given_at`, on a worker with a slow clock.
     fn latest_lease_end(&self, given_at: TimePoint) -> TimePoint {
         let span = poll::LEASE_SPAN.min(self.limits.longest_lease);
-        given_at + span.scale(worker_registry::SLOW_CLOCK_FACTOR)
+        given_at + span.scale(worker_registry::SLOW_CLOCK_FACTOR) + worker_registry::LEASE_MARGIN
     }
 
     /// The slot of a worker. A worker that was unknown so far may hold leases from a predecessor.
