--- a/sapphirewalk_core/src/coordinator/commands.rs
+++ b/sapphirewalk_core/src/coordinator/commands.rs
@@ -132,6 +132,8 @@
         match answer {
             OrderAnswer::Unwell => self.quarantine(worker, UNWELL_QUARANTINE, "unwell", now),
             OrderAnswer::Unsent => self.quarantine(worker, MISSING_QUARANTINE, "unreachable", now),
+            // The present incarnation has answered since, so it may take the run.
+            OrderAnswer::OtherIncarnation if restarted => {}
             OrderAnswer::OtherIncarnation => {
                 self.quarantine(worker, MISSING_QUARANTINE, "other_incarnation", now);
             }
@@ -288,11 +290,9 @@
         let new_deadline = entry
             .clock_at(now)
             .map_or(0, |clock| clock + span.as_millis());
-        // A start that is sent again to the same incarnation keeps its deadline, so that the wait for a
-        // silent worker's leases is bounded.
-        let sent = self.jobs.task(slot);
-        let sent = sent.filter(|task| task.worker_born_ms == entry.born_ms);
-        let sent_deadline = sent.map_or(0, |task| task.deadline_ms);
+        // A resent start keeps its deadline, so that the wait for a silent worker's leases is
+        // bounded.
+        let sent_deadline = self.jobs.task(slot).map_or(0, |task| task.deadline_ms);
         let deadline_ms = if sent_deadline > 0 {
             sent_deadline
         } else {
