Bound a batch by the bytes that the store takes, and leave out rows too long for it

Cause: a batch was bounded by rows only.

Fix: the rows of a batch are measured by the encoding that is written (`stored_value`), and a batch takes as many as fit beside the longest interference model and record of silent workers. The other jobs stay in the write queue, dirty, so their starts and the acknowledgements of their ends wait for the batch that writes them. The queue gives its share to the oldest rows also in a batch that is full early. A row that alone is too long is left out and logged as `row_too_long`: its job stays dirty, outside the queue, and is tried again each second, since the row becomes shorter as tasks end. Ends of other jobs are acknowledged up to the first that such a row would cover. The record of silent workers is cut to one row; a successor waits out the leases of those that it doesn't list.

Evidence: the new tests failed before, with "a batch of 2222980 bytes" (84 jobs of 400 tasks) and a row over 65,536 bytes (1,200 checkpoints of 60 bytes), and pass now.

--- a/sapphirewalk/src/entry/records.rs
+++ b/sapphirewalk/src/entry/records.rs
@@ -13,6 +13,7 @@
 use sapphirewalk_core::job_spec::JobId;
 use sapphirewalk_core::job_spec::JobSpec;
 use sapphirewalk_core::progress_row;
+use sapphirewalk_core::stored_value;
 use sapphirewalk_core::time::TimePoint;
 use sapphirewalk_core::time::TimeSpan;
 use sapphirewalk_core::work_rule::QueueTerms;
@@ -219,11 +220,7 @@
 
 /// Encodes a value, preceded by the version of the encoding.
 pub fn encode(value: &impl Serialize) -> Vec<u8> {
-    // Encoding plain types into memory can't fail. An empty value would be rejected when it is
-    // read.
-    let mut bytes = vec![LAYOUT_VERSION];
-    bytes.extend(postcard::to_allocvec(value).unwrap_or_default());
-    bytes
+    stored_value::encode(LAYOUT_VERSION, value)
 }
 
 /// Decodes a value. `None` if its encoding has another version or the bytes don't fit.
--- a/sapphirewalk/src/entry/settings.rs
+++ b/sapphirewalk/src/entry/settings.rs
@@ -195,6 +195,7 @@
             service_lookahead: self.service_lookahead,
             evacuation_bound: self.bounds.evacuation_bound(),
             unavailability_notice: self.bounds.unavailability_notice(),
+            longest_row: self.bounds.longest_row(),
         }
     }
 }
--- a/sapphirewalk_core/src/coordinator/commit.rs
+++ b/sapphirewalk_core/src/coordinator/commit.rs
@@ -4,10 +4,12 @@
 use crate::coordinator::Effect;
 use crate::coordinator::JobCoordinator;
 use crate::coordinator::SilentWorker;
+use crate::job_registry::JobProgress;
 use crate::job_registry::JobSlot;
 use crate::job_registry::JobState;
 use crate::job_registry::TaskPhase;
 use crate::job_registry::TaskSlot;
+use crate::stored_value;
 use crate::time::TimePoint;
 use crate::time::TimeSpan;
 use crate::worker_registry::WorkerSlot;
@@ -15,6 +17,14 @@
 /// Maximum rows per batch. The store takes 100 entries per transaction, the leadership lease's
 /// entry included.
 const BATCH_ROWS: usize = 90;
+/// Bytes that the store takes per transaction.
+const BATCH_BYTES: usize = 1_000_000;
+/// Bytes of a transaction beside the values of its rows: the names of 100 entries and the
+/// leadership lease.
+const BATCH_OVERHEAD: usize = 40_000;
+/// Longest value in bytes, whatever the store takes. The longest row of a job fits every batch,
+/// beside the interference model and the record of silent workers.
+const LONGEST_VALUE: usize = BATCH_BYTES / 5;
 /// Minimum interval between batches. It merges ends that arrive close together into one call, and
 /// is short compared with the objectives, which start at 250 ms.
 pub(super) const BATCH_INTERVAL: TimeSpan = TimeSpan::from_millis(12);
@@ -27,6 +37,8 @@
 /// time left on their leases shrinks, while a successor counts the recorded time from its takeover,
 /// so an old record prolongs its wait.
 const SILENT_INTERVAL: TimeSpan = RENEW_INTERVAL;
+/// Interval at which rows that were too long are tried again. They become shorter as tasks end.
+const HELD_INTERVAL: TimeSpan = TimeSpan::from_millis(1_000);
 /// How long after the send time of the last committed batch orders may still be issued: several
 /// renewals, plus the timeouts of a batch whose answer is lost. Together with `poll::LEASE_SPAN` it
 /// bounds how long a successor waits for leases on unreachable workers, and which store outage runs
@@ -47,6 +59,21 @@
     pub(super) send_early: bool,
     /// Send time of the last committed batch.
     committed_at: TimePoint,
+    /// Longest value that the store takes, in bytes.
+    longest_row: usize,
+    /// Jobs whose rows are longer. They are still dirty, and not in the write queue.
+    held: Vec<JobSlot>,
+    next_held: TimePoint,
+}
+
+/// What becomes of a job that waits to be written.
+enum WriteStep {
+    /// Its row is part of the batch.
+    Write(JobSlot, JobProgress),
+    /// Its row has this length in bytes, which the store doesn't take.
+    Hold(JobSlot, usize),
+    /// The job no longer exists.
+    Skip,
 }
 
 /// A batch that was sent and whose commit is not confirmed yet.
@@ -65,7 +92,7 @@
 }
 
 impl CommitState {
-    pub(super) fn new(now: TimePoint) -> Self {
+    pub(super) fn new(longest_row: usize, now: TimePoint) -> Self {
         Self {
             number: 0,
             in_flight: None,
@@ -75,8 +102,16 @@
             next_silent: now,
             send_early: false,
             committed_at: now,
+            longest_row: longest_row.min(LONGEST_VALUE),
+            held: Vec::new(),
+            next_held: now,
         }
     }
+
+    /// Number of jobs that wait for their rows to become shorter.
+    pub(super) const fn held_count(&self) -> usize {
+        self.held.len()
+    }
 }
 
 impl JobCoordinator {
@@ -108,11 +143,26 @@
         if self.next_batch_at().is_none_or(|due| now < due) {
             return;
         }
+        let learned = (now >= self.commit.next_learned).then(|| {
+            self.commit.next_learned = now + LEARNED_INTERVAL;
+            self.interference.export()
+        });
+        let recovered = self.recovered_workers();
+        let silent = self.silent_record(&recovered, now);
+        self.queue_held_jobs(now);
         let row_count = BATCH_ROWS.min(self.dirty.len());
         let mut rows = Vec::with_capacity(row_count);
         let mut jobs = Vec::with_capacity(row_count);
         let mut starts = Vec::new();
-        for slot in self.dirty.take(BATCH_ROWS) {
+        for step in self.take_writes() {
+            let (slot, row) = match step {
+                WriteStep::Write(slot, row) => (slot, row),
+                WriteStep::Hold(slot, len) => {
+                    self.hold_job(slot, len);
+                    continue;
+                }
+                WriteStep::Skip => continue,
+            };
             let Some(job) = self.jobs.get_mut(slot) else {
                 continue;
             };
@@ -129,17 +179,10 @@
                     }
                 }
             }
-            let workers = &self.workers;
-            rows.push(job.progress(|worker| workers.get(worker).listing.id.clone()));
+            rows.push(row);
         }
         let ends = self.written_ends();
-        let removed = self.retention.take_progress(BATCH_ROWS - row_count);
-        let learned = (now >= self.commit.next_learned).then(|| {
-            self.commit.next_learned = now + LEARNED_INTERVAL;
-            self.interference.export()
-        });
-        let recovered = self.recovered_workers();
-        let silent = self.silent_record(&recovered, now);
+        let removed = self.retention.take_progress(BATCH_ROWS - rows.len());
         self.commit.number += 1;
         let number = self.commit.number;
         self.commit.in_flight = Some(InFlightBatch {
@@ -161,6 +204,48 @@
         }));
     }
 
+    /// Queues the jobs again whose rows were too long, if that is due.
+    fn queue_held_jobs(&mut self, now: TimePoint) {
+        if now < self.commit.next_held {
+            return;
+        }
+        self.commit.next_held = now + HELD_INTERVAL;
+        for slot in std::mem::take(&mut self.commit.held) {
+            if let Some(job) = self.jobs.get(slot) {
+                self.dirty.push(slot, job.priority);
+            }
+        }
+    }
+
+    /// Takes the jobs that the next batch writes from the queue, with as many rows as fit it.
+    fn take_writes(&mut self) -> Vec<WriteStep> {
+        let longest = self.commit.longest_row;
+        // The rows beside those of the jobs count with their greatest length.
+        let mut room = BATCH_BYTES - BATCH_OVERHEAD - 2 * stored_value::call_len(longest);
+        let (jobs, workers) = (&self.jobs, &self.workers);
+        self.dirty.take(BATCH_ROWS, |slot| {
+            let Some(job) = jobs.get(slot) else {
+                return Some(WriteStep::Skip);
+            };
+            let row = job.progress(|worker| workers.get(worker).listing.id.clone());
+            let len = stored_value::encoded_len(&row);
+            if len > longest {
+                return Some(WriteStep::Hold(slot, len));
+            }
+            room = room.checked_sub(stored_value::call_len(len))?;
+            Some(WriteStep::Write(slot, row))
+        })
+    }
+
+    /// Leaves a job out until its row is shorter. It stays dirty: no start of it is sent, and no
+    /// worker may discard an end that the row would cover.
+    fn hold_job(&mut self, slot: JobSlot, len: usize) {
+        self.commit.held.push(slot);
+        let id = self.jobs.get(slot).map(|job| job.id);
+        let longest = self.commit.longest_row;
+        self.warn("row_too_long", id, format!("bytes={len} longest={longest}"));
+    }
+
     /// Each worker with unacknowledged ends, its incarnation, and its highest end that this batch and
     /// the earlier ones cover with all ends before it.
     fn written_ends(&mut self) -> Vec<(WorkerSlot, u64, u64)> {
@@ -199,12 +284,23 @@
         recovered: &[WorkerSlot],
         now: TimePoint,
     ) -> Option<Vec<SilentWorker>> {
-        let slots: Vec<WorkerSlot> = self
+        let mut slots: Vec<WorkerSlot> = self
             .workers
             .iter()
             .filter(|(_, entry)| entry.is_silent() && entry.leases_expired_at() > now)
             .map(|(slot, _)| slot)
             .collect();
+        // A successor waits longer for the leases of workers that don't fit the row.
+        let header = stored_value::encoded_len(&(slots.len(), slots.len()));
+        let mut room = self.commit.longest_row.saturating_sub(header);
+        slots.retain(|slot| {
+            let entry = self.workers.get(*slot);
+            let left = entry.leases_expired_at().since(now);
+            let len = stored_value::part_len(&(&entry.listing.id, left, entry.known_address()));
+            let rest = room.checked_sub(len);
+            room = rest.unwrap_or(room);
+            rest.is_some()
+        });
         let unrecorded = |slot: &WorkerSlot| !self.workers.get(*slot).recorded_silent;
         let changed = !recovered.is_empty() || slots.iter().any(unrecorded);
         if !changed && (slots.is_empty() || now < self.commit.next_silent) {
@@ -306,7 +402,8 @@
 
     /// Acknowledges the listed ends of a worker at once if no row is waiting to be committed.
     pub(super) fn acknowledge_ends(&mut self, worker: WorkerSlot, now: TimePoint) {
-        let idle = self.dirty.is_empty() && self.commit.in_flight.is_none();
+        let has_unwritten = !self.dirty.is_empty() || !self.commit.held.is_empty();
+        let idle = !has_unwritten && self.commit.in_flight.is_none();
         let entry = self.workers.get_mut(worker);
         if entry.handled_end <= entry.acked_end {
             return;
--- a/sapphirewalk_core/src/coordinator/load_report.rs
+++ b/sapphirewalk_core/src/coordinator/load_report.rs
@@ -96,7 +96,7 @@
         let mut report = std::mem::take(&mut self.load_report);
         report.mean_lag = self.start_pace.mean_lag();
         report.starts_per_s = self.start_pace.rate().map(|rate| rate as u32);
-        report.unwritten_jobs = self.dirty.len();
+        report.unwritten_jobs = self.dirty.len() + self.commit.held_count();
         let workers = self.workers.iter();
         report.unacknowledged_workers = workers
             .filter(|(_, entry)| entry.handled_end > entry.acked_end)
--- a/sapphirewalk_core/src/coordinator/mod.rs
+++ b/sapphirewalk_core/src/coordinator/mod.rs
@@ -95,6 +95,8 @@
     pub evacuation_bound: Option<TimeSpan>,
     /// Time without work after which a task of a service counts as unavailable, whatever the cause.
     pub unavailability_notice: TimeSpan,
+    /// Longest value of a row that the store takes, in bytes.
+    pub longest_row: usize,
 }
 
 /// State of a deployment's jobs and workers. It does no I/O: `handle` takes events, and `run`
@@ -181,7 +183,7 @@
             interference: InterferenceModel::default(),
             dirty: WriteQueue::default(),
             retention: retention::RetentionState::new(now),
-            commit: commit::CommitState::new(now),
+            commit: commit::CommitState::new(limits.longest_row, now),
             poll_queue: poll_queue::PollQueue::default(),
             leader_lag: LeaderLag::default(),
             start_pace: StartPace::default(),
--- a/sapphirewalk_core/src/lib.rs
+++ b/sapphirewalk_core/src/lib.rs
@@ -75,6 +75,7 @@
 pub mod slot_hold;
 pub mod slot_share;
 pub mod start_pace;
+pub mod stored_value;
 pub mod tail_violation;
 pub mod task_failure;
 pub mod task_lifecycle;
--- a/sapphirewalk_core/src/progress_row.rs
+++ b/sapphirewalk_core/src/progress_row.rs
@@ -9,6 +9,7 @@
 use crate::job_registry::TaskProgress;
 use crate::job_registry::WorkerIncarnation;
 use crate::job_spec::JobId;
+use crate::stored_value;
 use crate::time::TimePoint;
 
 /// Version of the encoding that is written; the first byte of a row.
@@ -88,11 +89,7 @@
 
 /// Encodes the progress of a job, preceded by the version of the encoding.
 pub fn encode(progress: &JobProgress) -> Vec<u8> {
-    // Encoding plain types into memory can't fail. An empty value would be rejected when it is
-    // read.
-    let mut bytes = vec![VERSION];
-    bytes.extend(postcard::to_allocvec(progress).unwrap_or_default());
-    bytes
+    stored_value::encode(VERSION, progress)
 }
 
 /// Decodes the progress of a job. `None` if the bytes fit neither the present nor the former
--- a/sapphirewalk_core/src/write_queue.rs
+++ b/sapphirewalk_core/src/write_queue.rs
@@ -41,28 +41,50 @@
         self.writes.is_empty()
     }
 
-    /// Removes up to `limit` jobs, those to be written first.
-    pub fn take(&mut self, limit: usize) -> Vec<JobSlot> {
-        if self.writes.len() <= limit {
-            return self.writes.drain(..).map(|write| write.job).collect();
+    /// Removes up to `limit` jobs, those to be written first, up to the first one for which
+    /// `prepare` returns none. Returns what it made of them, in the order in which they began to
+    /// wait.
+    pub fn take<T>(
+        &mut self,
+        limit: usize,
+        mut prepare: impl FnMut(JobSlot) -> Option<T>,
+    ) -> Vec<T> {
+        let mut taken = Vec::new();
+        for place in self.first_places(limit) {
+            let Some(prepared) = prepare(self.writes[place].job) else {
+                break;
+            };
+            taken.push((place, prepared));
         }
-        let oldest = limit / OLDEST_SHARE;
-        let mut places: Vec<usize> = (oldest..self.writes.len()).collect();
-        places.sort_by_key(|place| self.writes[*place].priority);
+        taken.sort_unstable_by_key(|(place, _)| *place);
         let mut is_taken = vec![false; self.writes.len()];
-        is_taken[..oldest].fill(true);
-        for place in &places[..limit - oldest] {
+        for (place, _) in &taken {
             is_taken[*place] = true;
         }
-        let mut taken = Vec::with_capacity(limit);
         let mut flags = is_taken.into_iter();
-        self.writes.retain(|write| {
-            let is_taken = flags.next().unwrap_or(false);
-            if is_taken {
-                taken.push(write.job);
-            }
-            !is_taken
-        });
-        taken
+        self.writes.retain(|_| !flags.next().unwrap_or(false));
+        taken.into_iter().map(|(_, prepared)| prepared).collect()
+    }
+
+    /// Places of up to `limit` jobs in the order in which they are to be written. Any first part of
+    /// it holds the share of the jobs that have waited longest.
+    fn first_places(&self, limit: usize) -> Vec<usize> {
+        let limit = limit.min(self.writes.len());
+        let oldest = if limit < self.writes.len() {
+            limit / OLDEST_SHARE
+        } else {
+            limit.div_ceil(OLDEST_SHARE)
+        };
+        let mut urgent: Vec<usize> = (oldest..self.writes.len()).collect();
+        urgent.sort_by_key(|place| self.writes[*place].priority);
+        let mut urgent = urgent.into_iter();
+        let mut places = Vec::with_capacity(limit);
+        for place in 0..oldest {
+            places.push(place);
+            places.extend(urgent.by_ref().take(OLDEST_SHARE - 1));
+        }
+        places.extend(urgent);
+        places.truncate(limit);
+        places
     }
 }
--- a/sapphirewalk_core/tests/coordinator/evacuation.rs
+++ b/sapphirewalk_core/tests/coordinator/evacuation.rs
@@ -446,6 +446,7 @@
         evacuation_bound: None,
         service_lookahead: false,
         unavailability_notice: TimeSpan::from_millis(5_500),
+        longest_row: 65_536,
     };
     let mut coordinator = JobCoordinator::new(limits, 1, now);
     let view = EvacuationView {
--- a/sapphirewalk_core/tests/coordinator/fixture.rs
+++ b/sapphirewalk_core/tests/coordinator/fixture.rs
@@ -14,6 +14,7 @@
         evacuation_bound: None,
         service_lookahead: false,
         unavailability_notice: TimeSpan::from_millis(5_500),
+        longest_row: 65_536,
     }
 }
 
--- a/sapphirewalk_core/tests/coordinator/main.rs
+++ b/sapphirewalk_core/tests/coordinator/main.rs
@@ -3,6 +3,7 @@
 #![allow(missing_docs)]
 
 mod availability;
+mod batch_size;
 mod capacity;
 mod crashes;
 mod crossed_faults;
--- a/sapphirewalk_core/tests/coordinator/malformed.rs
+++ b/sapphirewalk_core/tests/coordinator/malformed.rs
@@ -224,6 +224,7 @@
             service_lookahead: true,
             evacuation_bound: None,
             unavailability_notice: TimeSpan::from_millis(5_500),
+            longest_row: 65_536,
         };
         let mut now = TimePoint::from_millis(START_MS);
         let mut coordinator = JobCoordinator::new(limits, 1, now);
@@ -255,6 +256,7 @@
         service_lookahead: true,
         evacuation_bound: None,
         unavailability_notice: TimeSpan::from_millis(5_500),
+        longest_row: 65_536,
     };
     JobCoordinator::new(limits, fence, now)
 }
--- a/sapphirewalk_core/tests/coordinator/simulation.rs
+++ b/sapphirewalk_core/tests/coordinator/simulation.rs
@@ -902,6 +902,7 @@
             service_lookahead: self.service_lookahead,
             evacuation_bound: self.plan.evacuation_bound_ms.map(TimeSpan::from_millis),
             unavailability_notice: TimeSpan::from_millis(NOTICE_MS),
+            longest_row: 65_536,
         };
         let mut coordinator = JobCoordinator::new(limits, fence, now);
         coordinator.set_rules(self.rules_in_force());
