Bound the stored interference to its row, with the images that interfere most

Cause: the row of learned interference held each pair of images that ever met. With names of 117 characters it grew over 65,536 bytes, the store refused the batch, and the leader repeated it.

Fix: `export` fills at most the row that the store takes, measured by the encoding that is written. Service images with the most samples lately come first, with at most half of the row; then the best-effort images that raise their tail latency most. What fits as a whole is stored as before.

The strong pairs of each service image are all in the row.

The model in memory still keeps all pairs.

--- a/sapphirewalk_core/src/coordinator/commit.rs
+++ b/sapphirewalk_core/src/coordinator/commit.rs
@@ -145,7 +145,7 @@
         }
         let learned = (now >= self.commit.next_learned).then(|| {
             self.commit.next_learned = now + LEARNED_INTERVAL;
-            self.interference.export()
+            self.interference.export(self.commit.longest_row, now)
         });
         let recovered = self.recovered_workers();
         let silent = self.silent_record(&recovered, now);
--- a/sapphirewalk_core/src/image_interference.rs
+++ b/sapphirewalk_core/src/image_interference.rs
@@ -10,6 +10,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::stored_value;
 use crate::time::TimePoint;
 use crate::time::TimeSpan;
 
@@ -35,6 +36,8 @@
 const IMPORTED_SAMPLES: f64 = 60.0;
 /// Share of a worker's processor that best-effort tasks use in each of [`IMPORTED_SAMPLES`].
 const IMPORTED_SHARE: f64 = 0.1;
+/// One part in this many of the stored row may hold service images without their pairs.
+const BASE_DIVISOR: usize = 2;
 
 /// Interned name of an image, as an index into one [`InterferenceModel`].
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -86,6 +89,38 @@
     pub best_efforts: Vec<(String, f64)>,
 }
 
+/// Weight of a best-effort image in the fit of a service image that is to be stored.
+struct LearnedPair {
+    /// Index of the service image among those that are stored.
+    index: usize,
+    best_effort: ImageKey,
+    weight: f64,
+    /// The weight, less if the service image has had no samples lately.
+    rank: f64,
+}
+
+/// Bytes that are left in a row.
+struct RowRoom {
+    bytes: usize,
+}
+
+impl RowRoom {
+    /// The room for the parts of a list in a row of this length.
+    fn new(longest_row: usize) -> Self {
+        let header = stored_value::encoded_len(&longest_row);
+        Self {
+            bytes: longest_row.saturating_sub(header),
+        }
+    }
+
+    /// Takes the room for a part of the row; false if it doesn't fit.
+    fn take(&mut self, part: &impl Serialize) -> bool {
+        let rest = self.bytes.checked_sub(stored_value::part_len(part));
+        self.bytes = rest.unwrap_or(self.bytes);
+        rest.is_some()
+    }
+}
+
 impl ImageFit {
     /// A fit as if [`IMPORTED_SAMPLES`] samples had produced the given weights.
     fn imported(base: f64, best_efforts: Vec<(ImageKey, f64)>, now: TimePoint) -> Self {
@@ -136,12 +171,17 @@
         }
     }
 
+    /// Factor by which the sums have lost weight since they were last decayed.
+    fn decay_factor(&self, now: TimePoint) -> f64 {
+        let span = now.since(self.decayed_at).as_secs_f64();
+        (-span / HALF_LIFE.as_secs_f64() * std::f64::consts::LN_2).exp()
+    }
+
     fn decay(&mut self, now: TimePoint) {
         if now.since(self.decayed_at) < DECAY_INTERVAL {
             return;
         }
-        let span = now.since(self.decayed_at).as_secs_f64();
-        let factor = (-span / HALF_LIFE.as_secs_f64() * std::f64::consts::LN_2).exp();
+        let factor = self.decay_factor(now);
         self.decayed_at = now;
         for value in self.products.iter_mut().flatten().chain(&mut self.targets) {
             *value *= factor;
@@ -199,23 +239,52 @@
 const DEFAULT_BASE: f64 = -0.8;
 
 impl InterferenceModel {
-    /// All fits, to be stored for the next coordinator.
-    pub fn export(&self) -> Vec<LearnedImage> {
-        let fits = self.names.iter().zip(&self.fits);
-        let learned = fits.filter_map(|(name, fit)| {
-            let fit = fit.as_ref()?;
-            let weights = fit.best_efforts.iter().zip(&fit.weights[1..]);
-            Some(LearnedImage {
-                image: name.clone(),
-                base: fit.weights[0],
-                best_efforts: weights
-                    .map(|(best_effort, weight)| {
-                        (self.names[best_effort.0 as usize].clone(), *weight)
-                    })
-                    .collect(),
-            })
+    /// The fits, to be stored for the next coordinator in a row of up to `longest_row` bytes. If not
+    /// all of them fit, service images with the most samples lately come first, and for these the
+    /// best-effort images that interfere most.
+    pub fn export(&self, longest_row: usize, now: TimePoint) -> Vec<LearnedImage> {
+        let mut fits: Vec<(usize, &ImageFit)> = self
+            .fits
+            .iter()
+            .enumerate()
+            .filter_map(|(place, fit)| Some((place, fit.as_ref()?)))
+            .collect();
+        let samples = |fit: &ImageFit| fit.products[0][0] * fit.decay_factor(now);
+        fits.sort_by(|(_, one), (_, other)| samples(other).total_cmp(&samples(one)));
+        let mut room = RowRoom::new(longest_row);
+        let mut bases = RowRoom::new(longest_row / BASE_DIVISOR);
+        fits.retain(|(place, fit)| {
+            // The list of best-effort images may grow up to the length of all of them.
+            let base = (&self.names[*place], fit.weights[0], fit.best_efforts.len());
+            bases.take(&base) && room.take(&base)
         });
-        learned.collect()
+        fits.sort_unstable_by_key(|(place, _)| *place);
+        let mut learned: Vec<LearnedImage> = Vec::with_capacity(fits.len());
+        let mut pairs: Vec<LearnedPair> = Vec::new();
+        for (index, (place, fit)) in fits.into_iter().enumerate() {
+            learned.push(LearnedImage {
+                image: self.names[place].clone(),
+                base: fit.weights[0],
+                best_efforts: Vec::new(),
+            });
+            let factor = fit.decay_factor(now);
+            let weights = fit.best_efforts.iter().zip(&fit.weights[1..]);
+            pairs.extend(weights.map(|(best_effort, weight)| LearnedPair {
+                index,
+                best_effort: *best_effort,
+                weight: *weight,
+                rank: weight * factor,
+            }));
+        }
+        pairs.sort_by(|one, other| other.rank.total_cmp(&one.rank));
+        let name = |pair: &LearnedPair| &self.names[pair.best_effort.0 as usize];
+        pairs.retain(|pair| room.take(&(name(pair), pair.weight)));
+        pairs.sort_unstable_by_key(|pair| (pair.index, pair.best_effort));
+        for pair in &pairs {
+            let image = &mut learned[pair.index];
+            image.best_efforts.push((name(pair).clone(), pair.weight));
+        }
+        learned
     }
 
     /// Replaces the fits of these images by those that a former coordinator stored.
--- a/sapphirewalk_core/tests/coordinator/batch_size.rs
+++ b/sapphirewalk_core/tests/coordinator/batch_size.rs
@@ -11,6 +11,7 @@
 use sapphirewalk_core::coordinator::PollAnswer;
 use sapphirewalk_core::coordinator::RecoveryRecords;
 use sapphirewalk_core::coordinator::RunEnd;
+use sapphirewalk_core::image_interference::LearnedImage;
 use sapphirewalk_core::job_registry::JobProgress;
 use sapphirewalk_core::job_registry::JobState;
 use sapphirewalk_core::job_registry::TaskProgress;
@@ -261,3 +262,40 @@
     assert_eq!(row.state, JobState::Cancelled);
     assert_eq!(leader.acked, 2);
 }
+
+/// Guards against a row of learned interference that grows with the number of images that ever met.
+#[test]
+fn the_interference_of_many_images_fits_its_row() {
+    let bulk = |number: usize| format!("registry.test/bulk@sha256:{number:064x}");
+    let learned = (0..5).map(|service| LearnedImage {
+        image: format!("service-{service}"),
+        base: -0.5,
+        best_efforts: (0..400)
+            .map(|number| (bulk(number), if number % 40 == service { 2.5 } else { 0.1 }))
+            .collect(),
+    });
+    let records = RecoveryRecords {
+        learned: learned.collect(),
+        ..RecoveryRecords::default()
+    };
+    let mut leader = RestoredLeader::new(records, Vec::new());
+    leader.run(TimeSpan::from_millis(10_000));
+    leader.assert_all_taken();
+    let written = leader
+        .batches
+        .iter()
+        .filter_map(|batch| batch.learned.as_ref());
+    let written = written.last().expect("the learned images are written");
+    assert_eq!(written.len(), 5);
+    for (service, image) in written.iter().enumerate() {
+        let strong = (0..400).filter(|number| number % 40 == service);
+        for number in strong {
+            let name = bulk(number);
+            assert!(
+                image.best_efforts.contains(&(name, 2.5)),
+                "pair {service}, {number}"
+            );
+        }
+    }
+    assert!(leader.coordinator.has_authority(leader.now));
+}
