Take a batch back that the store refuses for good, and leave out the row it refuses

What callers saw: whatever the reason for which the store refused a batch with a status such as 400, the leader sent the same batch until its authority ran out, as did each successor, and nothing started any more.

Cause: `commit_batch` treated such a refusal like one that passes.

Fix: the batch goes back to the coordinator (`Event::Rejected`). Nothing of it counts as written: its jobs are dirty again, the ends that it would have covered are unwritten again, its deletions wait again, and its starts aren't sent. The next batches hold half as many rows each, without the interference model, until one passes or a row is refused alone. If the store then takes a batch without rows, that row is left out, logged as `row_refused`, and tried again in a batch of its own each second. If it refuses that too, no row is to blame, and the leader tries again at the interval of renewals.

The coordinator's tests of a refused row and of a store that refuses everything check that no end is acknowledged before its row is written.

--- a/sapphirewalk/src/entry/driver.rs
+++ b/sapphirewalk/src/entry/driver.rs
@@ -445,7 +445,8 @@
     }
 }
 
-/// Writes a batch to the store. Retries until the outcome is known or the leadership is lost.
+/// Writes a batch to the store. Retries until the outcome is known or the leadership is lost. A
+/// batch that the store refuses for good goes back to the coordinator.
 async fn commit_batch(driver: &LeaderDriver, batch: CommitBatch) {
     let node = &driver.node;
     let row = {
@@ -478,6 +479,11 @@
                     return;
                 }
             },
+            Err(error) if error.is_rejection() => {
+                driver.committing.set(false);
+                driver.send_event(Event::Rejected(batch.number));
+                return;
+            }
             Err(StoreError::Unknown) => {}
             Err(StoreError::Refused | StoreError::Malformed(_)) => {
                 tokio::time::sleep(STORE_RETRY_DELAY).await;
--- a/sapphirewalk/tests/entry/store.rs
+++ b/sapphirewalk/tests/entry/store.rs
@@ -302,3 +302,33 @@
     fleet.store.slow_transactions(std::time::Duration::ZERO);
     fleet.assert_no_duplicate_runs();
 }
+
+/// Bytes that the store takes per transaction in a trial: a few rows of progress.
+const SMALL_CALL_BYTES: usize = 1_600;
+/// Duration of a transaction for which the changes of many jobs wait for one batch.
+const WAITING_TIME: time::Duration = time::Duration::from_millis(300);
+
+/// Guards against a leader that repeats a batch for ever which the store refuses for good.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_batch_that_the_store_refuses_for_good_stops_no_job() {
+    let fleet = EntryFleet::start("refused_batch", 2).await;
+    fleet.store.slow_transactions(WAITING_TIME);
+    let submissions = (0..24).map(|number| {
+        let fleet = &fleet;
+        async move { fleet.submit(0, 1_000 + number, 50, &[1, 1]).await }
+    });
+    let statuses = futures::future::join_all(submissions).await;
+    assert!(statuses.iter().all(|status| *status == 200), "{statuses:?}");
+    fleet.store.limit_calls(SMALL_CALL_BYTES);
+    fleet.store.slow_transactions(time::Duration::ZERO);
+    for number in 0..24 {
+        fleet.until_state(1, 1_000 + number, "completed").await;
+        assert_eq!(fleet.starts(1_000 + number), 2, "job {number}");
+    }
+    fleet.assert_no_duplicate_runs();
+    let logs = (0..2).map(|number| fleet.entries[number].log());
+    let refused = logs
+        .filter(|log| log.contains("event=batch_refused"))
+        .count();
+    assert!(refused > 0, "no batch was refused");
+}
--- a/sapphirewalk_core/src/coordinator/commit.rs
+++ b/sapphirewalk_core/src/coordinator/commit.rs
@@ -9,9 +9,11 @@
 use crate::job_registry::JobState;
 use crate::job_registry::TaskPhase;
 use crate::job_registry::TaskSlot;
+use crate::job_spec::JobId;
 use crate::stored_value;
 use crate::time::TimePoint;
 use crate::time::TimeSpan;
+use crate::worker_registry::UnwrittenEnd;
 use crate::worker_registry::WorkerSlot;
 
 /// Maximum rows per batch. The store takes 100 entries per transaction, the leadership lease's
@@ -37,7 +39,7 @@
 /// time left on their leases shrinks, while a successor counts the recorded time from its takeover,
 /// so an old record prolongs its wait.
 const SILENT_INTERVAL: TimeSpan = RENEW_INTERVAL;
-/// Interval at which rows that were too long are tried again. They become shorter as tasks end.
+/// Interval at which rows that were left out are tried again. They become shorter as tasks end.
 const HELD_INTERVAL: TimeSpan = TimeSpan::from_millis(1_000);
 /// How long after the send time of the last committed batch orders may still be issued: several
 /// renewals, plus the timeouts of a batch whose answer is lost. Together with `poll::LEASE_SPAN` it
@@ -61,9 +63,39 @@
     committed_at: TimePoint,
     /// Longest value that the store takes, in bytes.
     longest_row: usize,
-    /// Jobs whose rows are longer. They are still dirty, and not in the write queue.
-    held: Vec<JobSlot>,
+    /// Jobs whose rows the store doesn't take. They are still dirty, and not in the write queue.
+    held: Vec<HeldJob>,
     next_held: TimePoint,
+    /// Most rows of the next batch; below [`BATCH_ROWS`] since the store refused one for good.
+    row_limit: usize,
+    /// Job whose row was refused alone, until a batch without rows shows whether the store takes
+    /// any. It is still dirty, and not in the write queue.
+    suspect: Option<JobSlot>,
+}
+
+/// A job that is left out of batches.
+#[derive(Debug)]
+struct HeldJob {
+    job: JobSlot,
+    cause: HoldCause,
+}
+
+/// Why a job is left out of batches.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum HoldCause {
+    /// Its row is longer than the store takes.
+    TooLong,
+    /// The store refused its row alone, and takes batches without it.
+    Refused,
+}
+
+/// Which jobs a batch may write.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum BatchScope {
+    /// Those that wait.
+    Queue,
+    /// A job that was left out because the store refused its row.
+    Retry(JobSlot),
 }
 
 /// What becomes of a job that waits to be written.
@@ -89,6 +121,20 @@
     ends: Vec<(WorkerSlot, u64, u64)>,
     /// Workers that this batch no longer records as silent.
     recovered: Vec<WorkerSlot>,
+    scope: BatchScope,
+    /// Ends that are no longer unwritten once the batch is committed.
+    covered: Vec<CoveredEnd>,
+    /// Jobs whose progress the batch deletes.
+    removed: Vec<JobId>,
+}
+
+/// An end that a batch or an earlier one covers.
+#[derive(Debug)]
+struct CoveredEnd {
+    worker: WorkerSlot,
+    /// The worker's incarnation that counts the end.
+    born_ms: u64,
+    end: UnwrittenEnd,
 }
 
 impl CommitState {
@@ -105,12 +151,19 @@
             longest_row: longest_row.min(LONGEST_VALUE),
             held: Vec::new(),
             next_held: now,
+            row_limit: BATCH_ROWS,
+            suspect: None,
         }
     }
 
-    /// Number of jobs that wait for their rows to become shorter.
-    pub(super) const fn held_count(&self) -> usize {
-        self.held.len()
+    /// Number of jobs whose rows the store doesn't take.
+    pub(super) fn held_count(&self) -> usize {
+        self.held.len() + usize::from(self.suspect.is_some())
+    }
+
+    /// Whether the batches are as large as they may be, since the store has refused none lately.
+    const fn is_unlimited(&self) -> bool {
+        self.row_limit >= BATCH_ROWS
     }
 }
 
@@ -143,22 +196,31 @@
         if self.next_batch_at().is_none_or(|due| now < due) {
             return;
         }
-        let learned = (now >= self.commit.next_learned).then(|| {
+        let learned_due = now >= self.commit.next_learned && self.commit.is_unlimited();
+        let learned = learned_due.then(|| {
             self.commit.next_learned = now + LEARNED_INTERVAL;
             self.interference.export(self.commit.longest_row, now)
         });
         let recovered = self.recovered_workers();
         let silent = self.silent_record(&recovered, now);
-        self.queue_held_jobs(now);
-        let row_count = BATCH_ROWS.min(self.dirty.len());
+        let scope = self.queue_held_jobs(now);
+        let row_limit = match scope {
+            BatchScope::Retry(_) => 1,
+            // A refusal must show which row it is for.
+            BatchScope::Queue if !self.commit.is_unlimited() && silent.is_some() => 0,
+            BatchScope::Queue => self.commit.row_limit,
+        };
+        let row_count = row_limit.min(self.dirty.len());
         let mut rows = Vec::with_capacity(row_count);
         let mut jobs = Vec::with_capacity(row_count);
         let mut starts = Vec::new();
-        for step in self.take_writes() {
+        for step in self.take_writes(scope, row_limit) {
             let (slot, row) = match step {
                 WriteStep::Write(slot, row) => (slot, row),
                 WriteStep::Hold(slot, len) => {
-                    self.hold_job(slot, len);
+                    let longest = self.commit.longest_row;
+                    let detail = format!("bytes={len} longest={longest}");
+                    self.hold_job(slot, HoldCause::TooLong, detail);
                     continue;
                 }
                 WriteStep::Skip => continue,
@@ -181,8 +243,8 @@
             }
             rows.push(row);
         }
-        let ends = self.written_ends();
-        let removed = self.retention.take_progress(BATCH_ROWS - rows.len());
+        let (ends, covered) = self.written_ends();
+        let removed = self.retention.take_progress(row_limit - rows.len());
         self.commit.number += 1;
         let number = self.commit.number;
         self.commit.in_flight = Some(InFlightBatch {
@@ -192,6 +254,9 @@
             starts,
             ends,
             recovered,
+            scope,
+            covered,
+            removed: removed.clone(),
         });
         self.commit.next_batch = now + BATCH_INTERVAL;
         self.commit.next_renewal = now + RENEW_INTERVAL;
@@ -204,26 +269,40 @@
         }));
     }
 
-    /// Queues the jobs again whose rows were too long, if that is due.
-    fn queue_held_jobs(&mut self, now: TimePoint) {
-        if now < self.commit.next_held {
-            return;
+    /// Queues the jobs again whose rows were too long, if that is due. One whose row was refused is
+    /// written in a batch of its own.
+    fn queue_held_jobs(&mut self, now: TimePoint) -> BatchScope {
+        if now < self.commit.next_held || !self.commit.is_unlimited() {
+            return BatchScope::Queue;
         }
         self.commit.next_held = now + HELD_INTERVAL;
-        for slot in std::mem::take(&mut self.commit.held) {
-            if let Some(job) = self.jobs.get(slot) {
-                self.dirty.push(slot, job.priority);
+        let mut scope = BatchScope::Queue;
+        for held in std::mem::take(&mut self.commit.held) {
+            match held.cause {
+                HoldCause::TooLong => self.queue_write(held.job),
+                HoldCause::Refused if scope == BatchScope::Queue => {
+                    scope = BatchScope::Retry(held.job);
+                }
+                HoldCause::Refused => self.commit.held.push(held),
             }
         }
+        scope
+    }
+
+    /// Adds a dirty job to the write queue.
+    fn queue_write(&mut self, slot: JobSlot) {
+        if let Some(job) = self.jobs.get(slot) {
+            self.dirty.push(slot, job.priority);
+        }
     }
 
-    /// Takes the jobs that the next batch writes from the queue, with as many rows as fit it.
-    fn take_writes(&mut self) -> Vec<WriteStep> {
+    /// Takes the jobs that the next batch writes, with as many rows as fit it.
+    fn take_writes(&mut self, scope: BatchScope, row_limit: usize) -> Vec<WriteStep> {
         let longest = self.commit.longest_row;
         // The rows beside those of the jobs count with their greatest length.
         let mut room = BATCH_BYTES - BATCH_OVERHEAD - 2 * stored_value::call_len(longest);
         let (jobs, workers) = (&self.jobs, &self.workers);
-        self.dirty.take(BATCH_ROWS, |slot| {
+        let prepare = |slot: JobSlot| {
             let Some(job) = jobs.get(slot) else {
                 return Some(WriteStep::Skip);
             };
@@ -234,22 +313,30 @@
             }
             room = room.checked_sub(stored_value::call_len(len))?;
             Some(WriteStep::Write(slot, row))
-        })
+        };
+        match scope {
+            BatchScope::Queue => self.dirty.take(row_limit, prepare),
+            BatchScope::Retry(slot) => Some(slot).and_then(prepare).into_iter().collect(),
+        }
     }
 
-    /// Leaves a job out until its row is shorter. It stays dirty: no start of it is sent, and no
-    /// worker may discard an end that the row would cover.
-    fn hold_job(&mut self, slot: JobSlot, len: usize) {
-        self.commit.held.push(slot);
-        let id = self.jobs.get(slot).map(|job| job.id);
-        let longest = self.commit.longest_row;
-        self.warn("row_too_long", id, format!("bytes={len} longest={longest}"));
+    /// Leaves a job out for a while. It stays dirty: no start of it is sent, and no worker may
+    /// discard an end that the row would cover.
+    fn hold_job(&mut self, job: JobSlot, cause: HoldCause, detail: String) {
+        self.commit.held.push(HeldJob { job, cause });
+        let id = self.jobs.get(job).map(|job| job.id);
+        let event = match cause {
+            HoldCause::TooLong => "row_too_long",
+            HoldCause::Refused => "row_refused",
+        };
+        self.warn(event, id, detail);
     }
 
     /// Each worker with unacknowledged ends, its incarnation, and its highest end that this batch and
-    /// the earlier ones cover with all ends before it.
-    fn written_ends(&mut self) -> Vec<(WorkerSlot, u64, u64)> {
+    /// the earlier ones cover with all ends before it. Then the ends that are no longer unwritten.
+    fn written_ends(&mut self) -> (Vec<(WorkerSlot, u64, u64)>, Vec<CoveredEnd>) {
         let mut ends = Vec::new();
+        let mut covered = Vec::new();
         for worker in self.workers.slots() {
             let entry = self.workers.get_mut(worker);
             if entry.handled_end <= entry.acked_end {
@@ -257,14 +344,25 @@
             }
             let jobs = &self.jobs;
             let is_unwritten = |job: JobSlot| jobs.get(job).is_some_and(|job| job.dirty);
-            entry.unwritten_ends.retain(|end| is_unwritten(end.job));
+            let born_ms = entry.born_ms;
+            entry.unwritten_ends.retain(|end| {
+                let is_kept = is_unwritten(end.job);
+                if !is_kept {
+                    covered.push(CoveredEnd {
+                        worker,
+                        born_ms,
+                        end: *end,
+                    });
+                }
+                is_kept
+            });
             let unwritten = entry.unwritten_ends.first();
             let written = unwritten.map_or(entry.handled_end, |end| end.number - 1);
             if written > entry.acked_end {
-                ends.push((worker, entry.born_ms, written));
+                ends.push((worker, born_ms, written));
             }
         }
-        ends
+        (ends, covered)
     }
 
     /// Workers that the store records as silent and that answer polls again.
@@ -331,6 +429,10 @@
             return;
         }
         self.commit.committed_at = batch.sent_at;
+        if let Some(slot) = self.commit.suspect.take() {
+            self.hold_job(slot, HoldCause::Refused, String::new());
+        }
+        self.commit.row_limit = (self.commit.row_limit * 2).clamp(1, BATCH_ROWS);
         for worker in batch.recovered {
             let entry = self.workers.get_mut(worker);
             // The worker may have become silent again since; the next batch then records it again.
@@ -367,6 +469,69 @@
         }
     }
 
+    /// Takes back a batch that the store refuses for good, so that nothing of it is written. The next
+    /// batches hold fewer rows, until the row that the store refuses is found.
+    pub(super) fn on_rejected(&mut self, number: u64, now: TimePoint) {
+        let Some(batch) = self.commit.in_flight.take() else {
+            return;
+        };
+        if batch.number != number {
+            self.commit.in_flight = Some(batch);
+            return;
+        }
+        for covered in batch.covered {
+            let entry = self.workers.get_mut(covered.worker);
+            let (ends, end) = (&mut entry.unwritten_ends, covered.end);
+            if entry.born_ms == covered.born_ms
+                && let Err(place) = ends.binary_search_by_key(&end.number, |known| known.number)
+            {
+                ends.insert(place, end);
+            }
+        }
+        self.retention.add_progress(batch.removed);
+        self.commit.send_early |= !batch.recovered.is_empty();
+        self.commit.next_silent = now;
+        let row_count = batch.jobs.len();
+        let row_limit = match batch.scope {
+            BatchScope::Retry(_) => self.commit.row_limit,
+            BatchScope::Queue => row_count / 2,
+        };
+        let detail = format!("batch={number} rows={row_count} next={row_limit}");
+        self.warn("batch_refused", None, detail);
+        match (batch.scope, batch.jobs.as_slice()) {
+            (BatchScope::Retry(_), [(slot, _)]) if self.set_dirty(*slot) => {
+                self.hold_job(*slot, HoldCause::Refused, String::new());
+            }
+            // Under the limit, a batch with a row holds nothing else that one without rows leaves
+            // out.
+            (BatchScope::Queue, [(slot, _)])
+                if !self.commit.is_unlimited() && self.set_dirty(*slot) =>
+            {
+                self.commit.suspect = Some(*slot);
+            }
+            (_, jobs) => {
+                for (slot, _) in jobs {
+                    self.mark_dirty(*slot);
+                }
+            }
+        }
+        if row_count == 0 {
+            // The store refuses whatever this coordinator writes.
+            self.commit.next_batch = now + RENEW_INTERVAL;
+            self.commit.next_renewal = now + RENEW_INTERVAL;
+            if let Some(slot) = self.commit.suspect.take() {
+                self.queue_write(slot);
+            }
+        }
+        self.commit.row_limit = row_limit;
+    }
+
+    /// Marks a job as dirty without queueing it. Returns whether it wasn't dirty.
+    fn set_dirty(&mut self, slot: JobSlot) -> bool {
+        let job = self.jobs.get_mut(slot);
+        job.is_some_and(|job| !std::mem::replace(&mut job.dirty, true))
+    }
+
     /// Sends the start of a run that was just committed, unless its job has ended or its worker has
     /// become silent, shrunk, evacuated or restarted.
     fn send_committed_start(&mut self, slot: TaskSlot, now: TimePoint) {
@@ -402,7 +567,7 @@
 
     /// Acknowledges the listed ends of a worker at once if no row is waiting to be committed.
     pub(super) fn acknowledge_ends(&mut self, worker: WorkerSlot, now: TimePoint) {
-        let has_unwritten = !self.dirty.is_empty() || !self.commit.held.is_empty();
+        let has_unwritten = !self.dirty.is_empty() || self.commit.held_count() > 0;
         let idle = !has_unwritten && self.commit.in_flight.is_none();
         let entry = self.workers.get_mut(worker);
         if entry.handled_end <= entry.acked_end {
--- a/sapphirewalk_core/src/coordinator/event.rs
+++ b/sapphirewalk_core/src/coordinator/event.rs
@@ -127,6 +127,9 @@
     Cancelled(JobId),
     /// The batch with this number was committed.
     Committed(u64),
+    /// The store refused the batch with this number for good: it had no effect, and would have none
+    /// if it were sent again unchanged.
+    Rejected(u64),
     /// An attempt to delete the rows of jobs has ended. Contains those of which the store confirmed
     /// it.
     RowsDeleted(Vec<JobId>),
--- a/sapphirewalk_core/src/coordinator/mod.rs
+++ b/sapphirewalk_core/src/coordinator/mod.rs
@@ -282,6 +282,7 @@
             Event::Stored(record) => self.on_stored(record, now),
             Event::Cancelled(id) => self.on_cancelled(id, now),
             Event::Committed(number) => self.on_committed(number, now),
+            Event::Rejected(number) => self.on_rejected(number, now),
             Event::RowsDeleted(ids) => self.on_rows_deleted(&ids, now),
             Event::Polled {
                 worker,
--- a/sapphirewalk_core/tests/coordinator/batch_size.rs
+++ b/sapphirewalk_core/tests/coordinator/batch_size.rs
@@ -43,6 +43,12 @@
     /// Highest end that was acknowledged.
     acked: u64,
     batches: Vec<CommitBatch>,
+    /// Job whose rows the store refuses, whatever they hold.
+    refused_job: Option<JobId>,
+    /// Whether the store refuses all batches.
+    refuses_all: bool,
+    /// Number of batches that the store refused.
+    refused: usize,
     warnings: Vec<(&'static str, Option<JobId>)>,
 }
 
@@ -58,6 +64,9 @@
             ends,
             acked: 0,
             batches: Vec::new(),
+            refused_job: None,
+            refuses_all: false,
+            refused: 0,
             warnings: Vec::new(),
         }
     }
@@ -79,9 +88,14 @@
         match effect {
             Effect::Commit(batch) => {
                 let number = batch.number;
-                let taken = is_taken(&batch);
+                let mut rows = batch.rows.iter();
+                let has_refused = rows.any(|row| Some(row.id) == self.refused_job);
+                if has_refused || self.refuses_all || !is_taken(&batch) {
+                    self.refused += 1;
+                    return Some(Event::Rejected(number));
+                }
                 self.batches.push(batch);
-                taken.then_some(Event::Committed(number))
+                Some(Event::Committed(number))
             }
             Effect::Poll {
                 target,
@@ -119,9 +133,8 @@
 
     /// The last committed row of a job.
     fn last_row(&self, id: u64) -> Option<&JobProgress> {
-        let taken = self.batches.iter().filter(|batch| is_taken(batch));
-        let rows = taken.flat_map(|batch| &batch.rows);
-        rows.filter(|row| row.id == JobId(id)).last()
+        let rows = self.batches.iter().flat_map(|batch| &batch.rows);
+        rows.rev().find(|row| row.id == JobId(id))
     }
 
     fn assert_all_taken(&self) {
@@ -130,6 +143,11 @@
             assert!(longest <= ROW_BYTES, "a row of {longest} bytes");
             assert!(total <= CALL_BYTES, "a batch of {total} bytes");
         }
+        assert_eq!(self.refused, 0, "batches were refused");
+    }
+
+    fn has_run_recorded_as_done(&self, id: u64) -> bool {
+        self.last_row(id).is_some_and(|row| row.tasks[0].done)
     }
 }
 
@@ -281,11 +299,9 @@
     let mut leader = RestoredLeader::new(records, Vec::new());
     leader.run(TimeSpan::from_millis(10_000));
     leader.assert_all_taken();
-    let written = leader
-        .batches
-        .iter()
-        .filter_map(|batch| batch.learned.as_ref());
-    let written = written.last().expect("the learned images are written");
+    let mut batches = leader.batches.iter().rev();
+    let written = batches.find_map(|batch| batch.learned.as_ref());
+    let written = written.expect("the learned images are written");
     assert_eq!(written.len(), 5);
     for (service, image) in written.iter().enumerate() {
         let strong = (0..400).filter(|number| number % 40 == service);
@@ -299,3 +315,64 @@
     }
     assert!(leader.coordinator.has_authority(leader.now));
 }
+
+/// A leader whose worker lists the end of a run of each of some jobs of two tasks.
+fn leader_of_small_jobs(jobs: u64) -> RestoredLeader {
+    let stored = (0..jobs).map(|id| stored_job(id, 2, 10));
+    let ends = (0..jobs).map(|id| first_end(id + 1, id, RunEnd::Done));
+    RestoredLeader::new(records(stored.collect()), ends.collect())
+}
+
+/// Guards against one row that stops all others because the store refuses it, whatever the reason.
+#[test]
+fn a_row_that_the_store_refuses_stops_no_other_job_and_is_written_once_it_is_taken() {
+    let jobs = 60;
+    let refused = 23;
+    let mut leader = leader_of_small_jobs(jobs);
+    leader.refused_job = Some(JobId(refused));
+    leader.run(TimeSpan::from_millis(4_000));
+    for id in (0..jobs).filter(|id| *id != refused) {
+        assert!(leader.has_run_recorded_as_done(id), "job {id}");
+    }
+    assert_eq!(leader.last_row(refused), None);
+    // The ends before that of the refused job are covered by rows.
+    assert_eq!(leader.acked, refused);
+    assert!(leader.coordinator.has_authority(leader.now));
+    let refusals = leader.refused;
+    assert!(refusals < 25, "{refusals} batches were refused in 4 s");
+    let warned = leader
+        .warnings
+        .contains(&("row_refused", Some(JobId(refused))));
+    assert!(warned, "{:?}", leader.warnings);
+    leader.refused_job = None;
+    leader.run(TimeSpan::from_millis(2_000));
+    assert!(leader.has_run_recorded_as_done(refused));
+    assert_eq!(leader.acked, jobs);
+}
+
+/// Guards against rows that are left out although the store refused everything, and against ends
+/// that are acknowledged although the batch with their rows was taken back.
+#[test]
+fn after_a_store_that_refused_everything_all_rows_are_written_at_once() {
+    let jobs = 60;
+    let mut leader = leader_of_small_jobs(jobs);
+    leader.refuses_all = true;
+    leader.run(TimeSpan::from_millis(2_000));
+    assert_eq!(leader.acked, 0);
+    let refusals = leader.refused;
+    assert!(
+        (1..25).contains(&refusals),
+        "{refusals} batches were refused in 2 s"
+    );
+    leader.refuses_all = false;
+    leader.run(TimeSpan::from_millis(1_000));
+    for id in 0..jobs {
+        assert!(leader.has_run_recorded_as_done(id), "job {id}");
+    }
+    assert_eq!(leader.acked, jobs);
+    let held = leader
+        .warnings
+        .iter()
+        .any(|(event, _)| *event == "row_refused");
+    assert!(!held, "{:?}", leader.warnings);
+}
