--- a/sapphirewalk_core/tests/coordinator/batch_size.rs
+++ b/sapphirewalk_core/tests/coordinator/batch_size.rs
@@ -11,6 +11,7 @@
 use sapphirewalk_core::coordinator::PollAnswer;
 use sapphirewalk_core::coordinator::RecoveryRecords;
 use sapphirewalk_core::coordinator::RunEnd;
+use sapphirewalk_core::coordinator::SilentWorker;
 use sapphirewalk_core::image_interference::LearnedImage;
 use sapphirewalk_core::job_registry::JobProgress;
 use sapphirewalk_core::job_registry::JobState;
@@ -159,6 +160,13 @@
         let encoded = postcard::to_allocvec(learned).expect("plain types can be encoded");
         lens.push(1 + encoded.len());
     }
+    if let Some(silent) = &batch.silent {
+        let workers = silent.iter().map(|worker| (&worker.id, worker.lease_left));
+        let workers: Vec<(&String, TimeSpan)> = workers.collect();
+        let addresses: Vec<_> = silent.iter().map(|worker| worker.address).collect();
+        let encoded = postcard::to_allocvec(&(workers, addresses));
+        lens.push(1 + encoded.expect("plain types can be encoded").len());
+    }
     let longest = lens.iter().max().copied().unwrap_or_default();
     (longest, lens.iter().map(|len| len.div_ceil(3) * 4).sum())
 }
@@ -316,6 +324,29 @@
     assert!(leader.coordinator.has_authority(leader.now));
 }
 
+/// Guards against a record of silent workers that is longer than a row.
+#[test]
+fn the_record_of_many_silent_workers_fits_its_row() {
+    let silent = (0..3_000).map(|number| SilentWorker {
+        id: format!("a-worker-with-a-long-identifier-{number:08}"),
+        lease_left: TimeSpan::from_millis(8_000),
+        address: Some(([127, 0, 0, 1], 2_000).into()),
+    });
+    let records = RecoveryRecords {
+        silent: silent.collect(),
+        ..RecoveryRecords::default()
+    };
+    let mut leader = RestoredLeader::new(records, Vec::new());
+    leader.run(TimeSpan::from_millis(1_000));
+    leader.assert_all_taken();
+    let written = leader
+        .batches
+        .iter()
+        .find_map(|batch| batch.silent.as_ref());
+    let written = written.expect("the record is written");
+    assert!((1_000..3_000).contains(&written.len()), "{}", written.len());
+}
+
 /// A leader whose worker lists the end of a run of each of some jobs of two tasks.
 fn leader_of_small_jobs(jobs: u64) -> RestoredLeader {
     let stored = (0..jobs).map(|id| stored_job(id, 2, 10));
